Serve the platform's protocol on sockets around the module

Core lives requests, upstream carries attempts over few connections, respfront takes redcon connections over, board follows the notice board.

--- /dev/null
+++ b/cmd/ravenwheel/serve.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ravenwheel/internal/board"
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/config"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/respfront"
+	"ravenwheel/internal/upstream"
+)
+
+const (
+	// stopGrace: after SIGTERM new connections keep coming for 0.4 s, and requests on open ones for 0.2 s more.
+	stopGrace = 800 * time.Millisecond
+	// stopMargin before SIGKILL, which comes no sooner than the longest deadline and 0.7 s after SIGTERM.
+	stopMargin = 100 * time.Millisecond
+	// connsPerServer caps the connections to one cache server.
+	connsPerServer = 6
+	// boardSilence: the board's frames come each second.
+	boardSilence, boardRedial = 2500 * time.Millisecond, 100 * time.Millisecond
+)
+
+func check(cmd *cobra.Command, _ []string) error {
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "%s on %s: %d classes, %d events known\n", c.Name, c.Listen, len(c.Classes), len(c.Known))
+	return nil
+}
+
+func serve(*cobra.Command, []string) error {
+	conf, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	limit(conf)
+	clk := clock.System()
+	up := upstream.New(clk, upstream.Limits{
+		PerConn: conf.StreamsPerConn, Conns: connsPerServer, Connect: conf.Connect, Idle: conf.ConnIdle,
+	})
+	c, err := core.New(conf.Settings, conf.Classes, conf.MostHeld, conf.Seed, clk, up)
+	if err != nil {
+		return err
+	}
+	for _, n := range conf.Known {
+		c.Notice(n)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	follow := board.Client{
+		Addr: conf.Board, Last: conf.Rev, Silence: boardSilence, Redial: boardRedial, Notice: c.Notice,
+	}
+	go follow.Run(context.Background()) // also while stopping: the rules go on
+	ln, err := net.Listen("tcp", conf.Listen)
+	if err != nil {
+		return err
+	}
+	front := respfront.New(ln, conf.Sockets/2, clk, c)
+	failed := make(chan error, 1)
+	go func() { failed <- front.Serve() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	return drain(front, conf)
+}
+
+// drain lets what is still on its way in come, then answers what is open.
+func drain(front *respfront.Front, conf *config.Config) error {
+	end := time.Now().Add(longest(conf) + 700*time.Millisecond - stopMargin)
+	time.Sleep(stopGrace)
+	_ = front.Close()
+	for !front.Idle() && time.Now().Before(end) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
+
+// longest is the longest deadline of a class, 3 s at least.
+func longest(conf *config.Config) time.Duration {
+	most := 3 * time.Second
+	for _, c := range conf.Settings.Classes {
+		most = max(most, c.Deadline)
+	}
+	return most
+}
+
+// limit keeps the runtime within what the platform gives: its cores, and its memory less what the runtime
+// does not count.
+func limit(conf *config.Config) {
+	if conf.Sockets <= 0 {
+		conf.Sockets = 1024
+	}
+	runtime.GOMAXPROCS(max(1, int(conf.Cores)))
+	if conf.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(conf.MemoryMB) << 20 * 3 / 4)
+	}
+}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,8 +10,8 @@
 	"io"
 	"os"
 
-	"walkfold/policy"
-	"walkfold/wire"
+	"ravenwheel/policy"
+	"ravenwheel/wire"
 )
 
 func main() {
--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,220 @@
+// Package board follows the notice board: numbered events, first as JSON in the configuration, then as
+// frames over TCP.
+package board
+
+import (
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"ravenwheel/internal/core"
+	"ravenwheel/policy"
+)
+
+// Names are the lists that text and numbers on the board point into.
+type Names struct{ Zones, Kinds []string }
+
+type jsonMember struct {
+	InstanceID, HostPort, Zone, MachineType, Lifecycle string
+	Cell                                               int
+	Weight                                             float64
+	StartedAtMs                                        float64
+}
+
+type jsonNotice struct {
+	Rev  uint64
+	Pool *struct {
+		Reset     bool
+		Instances []jsonMember
+	}
+	Flush *struct {
+		Asset      string
+		Collection *int
+		Ms         float64
+	}
+}
+
+var states = []policy.State{policy.Ready, policy.Draining, policy.Gone}
+
+var stateNames = map[string]policy.State{"up": policy.Ready, "draining": policy.Draining, "removed": policy.Gone}
+
+// Known decodes the events of the start, and the number of the last one.
+func Known(raw []byte, names Names) (notices []core.Notice, last uint64, err error) {
+	var known struct {
+		Rev     uint64
+		Notices []jsonNotice
+	}
+	if err := json.Unmarshal(raw, &known); err != nil {
+		return nil, 0, fmt.Errorf("known: %w", err)
+	}
+	for i, j := range known.Notices {
+		n := core.Notice{Rev: j.Rev}
+		if p := j.Pool; p != nil {
+			n.Whole = p.Reset || i == 0
+			for _, m := range p.Instances {
+				e, err := m.member(names)
+				if err != nil {
+					return nil, 0, fmt.Errorf("known: notice %d: %w", j.Rev, err)
+				}
+				n.Members = append(n.Members, e)
+			}
+		}
+		if f := j.Flush; f != nil {
+			n.Purge = &core.Purge{Object: f.Asset, Group: -1, At: f.Ms + 1}
+			if f.Collection != nil {
+				n.Purge.Group = *f.Collection
+			}
+		}
+		notices = append(notices, n)
+	}
+	return notices, known.Rev, nil
+}
+
+func (m jsonMember) member(names Names) (e core.Member, err error) {
+	id, err := strconv.ParseUint(strings.TrimPrefix(m.InstanceID, "s-"), 16, 32)
+	if err != nil {
+		return e, fmt.Errorf("instanceId %q can't be read", m.InstanceID)
+	}
+	state, ok := stateNames[m.Lifecycle]
+	zone, kind := index(names.Zones, m.Zone), index(names.Kinds, m.MachineType)
+	if !ok || zone < 0 || kind < 0 {
+		return e, fmt.Errorf("%s: unknown lifecycle %q, zone %q or machineType %q", m.InstanceID, m.Lifecycle, m.Zone, m.MachineType)
+	}
+	e = core.Member{Addr: m.HostPort}
+	e.ID, e.Zone, e.Kind, e.Cell, e.State = policy.CacheID(id), zone, kind, m.Cell, state
+	e.Weight, e.Started = m.Weight, policy.Time(m.StartedAtMs*1e6)
+	return e, nil
+}
+
+func index(list []string, s string) int {
+	for i, x := range list {
+		if x == s {
+			return i
+		}
+	}
+	return -1
+}
+
+// The kinds of frame.
+const (
+	kindNothing = iota
+	kindWhole
+	kindChanges
+	kindObject
+	kindGroup
+)
+
+const (
+	recordLen = 27
+	mostFrame = 1 << 20
+)
+
+var errFrame = errors.New("board: a frame can't be read")
+
+// readFrame reads one frame.
+func readFrame(r io.Reader) (n core.Notice, kind byte, err error) {
+	var head [13]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return n, 0, err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	n.Rev, kind = binary.BigEndian.Uint64(head[4:]), head[12]
+	if size < 9 || size > mostFrame {
+		return n, kind, errFrame
+	}
+	b := make([]byte, size-9)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return n, kind, err
+	}
+	u64 := binary.BigEndian.Uint64
+	// The board gives whole milliseconds: a copy made within the one of its purge counts as older.
+	switch {
+	case (kind == kindWhole || kind == kindChanges) && len(b)%recordLen == 0:
+		n.Whole = kind == kindWhole
+		for ; len(b) > 0; b = b[recordLen:] {
+			m, err := record(b)
+			if err != nil {
+				return n, kind, err
+			}
+			n.Members = append(n.Members, m)
+		}
+	case kind == kindObject && len(b) == 16:
+		n.Purge = &core.Purge{Object: fmt.Sprintf("%016x", u64(b)), Group: -1, At: float64(u64(b[8:])) + 1}
+	case kind == kindGroup && len(b) == 10:
+		n.Purge = &core.Purge{Group: int(binary.BigEndian.Uint16(b)), At: float64(u64(b[2:])) + 1}
+	case kind > kindGroup || kind == kindNothing: // of a later version, or nothing new
+	default:
+		return n, kind, errFrame
+	}
+	return n, kind, nil
+}
+
+func record(b []byte) (m core.Member, err error) {
+	if int(b[10]) >= len(states) {
+		return m, errFrame
+	}
+	m.ID = policy.CacheID(binary.BigEndian.Uint32(b))
+	m.Addr = net.JoinHostPort(net.IP(b[4:8]).String(), strconv.Itoa(int(binary.BigEndian.Uint16(b[8:]))))
+	m.State, m.Zone, m.Kind = states[b[10]], int(b[11]), int(b[12])
+	m.Cell = int(binary.BigEndian.Uint16(b[13:]))
+	m.Weight = float64(binary.BigEndian.Uint32(b[15:])) / 1000
+	m.Started = policy.Time(binary.BigEndian.Uint64(b[19:])) * policy.Time(time.Millisecond)
+	return m, nil
+}
+
+// Client follows one notice board.
+type Client struct {
+	Addr    string
+	Last    uint64        // number of the last event known
+	Silence time.Duration // frames come every second: after so much silence the connection is broken
+	Redial  time.Duration // pause between connections
+	Notice  func(core.Notice)
+}
+
+// Run follows the board until ctx ends. Whatever breaks, it dials again with the last number it has.
+func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.follow(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(c.Redial):
+		}
+	}
+}
+
+func (c *Client) follow(ctx context.Context) {
+	d := net.Dialer{Timeout: c.Silence}
+	nc, err := d.DialContext(ctx, "tcp", c.Addr)
+	if err != nil {
+		return
+	}
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+	var last [8]byte
+	binary.BigEndian.PutUint64(last[:], c.Last)
+	if _, err := nc.Write(last[:]); err != nil {
+		return
+	}
+	for {
+		// Guards against a board that was cut off: its connection stays open and says nothing.
+		_ = nc.SetReadDeadline(time.Now().Add(c.Silence))
+		n, kind, err := readFrame(nc)
+		if err != nil {
+			return
+		}
+		if kind == kindNothing || n.Rev <= c.Last {
+			continue
+		}
+		c.Last = n.Rev
+		if n.Purge != nil || n.Whole || n.Members != nil {
+			c.Notice(n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,407 @@
+// Package core lives the requests of one steering proxy: their attempts, outcomes and final answers. It
+// knows no wire. The fronts hand it requests through Do, and an Upstream carries its attempts.
+package core
+
+import (
+	"context"
+	"fmt"
+	"log"
+	"sync"
+	"sync/atomic"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/invariant"
+	"ravenwheel/policy"
+)
+
+// Request is what a front asks for.
+type Request struct {
+	ID       string
+	Class    int
+	Object   string
+	Part     int
+	Group    int
+	SizeKB   float64
+	Repeat   bool
+	Holds    string  // the tag of the copy that the client has
+	Body     []byte  // of a write
+	Deadline float64 // Unix ms at which the client gives up
+	SendBy   float64 // no attempt starts later; 0: no such bound
+}
+
+// Verdict is the kind of a final answer.
+type Verdict int
+
+// The verdicts. Refused: trying again is harmless. Failed: it may have run. Gone: no answer is owed.
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+	Gone
+)
+
+// Answer is the one final answer to a request.
+type Answer struct {
+	Verdict Verdict
+	Body    []byte
+	Tag     string
+	Same    bool    // the client's copy is the one
+	Backoff float64 // ms to stay away; 0: no advice
+}
+
+// Attempt is one try at a cache server.
+type Attempt struct {
+	ID     string
+	Class  string
+	Object string
+	Part   int
+	Holds  string
+	Body   []byte
+	To     policy.CacheID
+	Source policy.CacheID // To itself: no fill
+	TTL    float64        // ms
+	Age    float64        // ms; 0: the class's fresh time
+	Keep   int
+	How    policy.How
+	SendBy float64 // Unix ms: past it the decision is too old, and the attempt must not be written
+}
+
+// End is how an attempt ended.
+type End struct {
+	Result policy.Result
+	Note   policy.Note
+	Waited float64 // ms
+	Tag    string
+	Body   []byte
+	Same   bool
+	Load   policy.Load
+}
+
+// Upstream carries attempts to cache servers.
+type Upstream interface {
+	// Send starts an attempt and calls end exactly once, from any goroutine, unless abort came first.
+	Send(a Attempt, end func(End)) (abort func())
+	// Probe asks a cache server how it is.
+	Probe(to policy.CacheID, end func(End))
+	// CloseIdle closes the idle connections to a cache server.
+	CloseIdle(to policy.CacheID)
+	// Members tells where cache servers are.
+	Members(list []Member, whole bool)
+}
+
+// Member is an entry of the notice board's list, with its address.
+type Member struct {
+	policy.Member
+	Addr string
+}
+
+// Purge is a purge of an object or, with none named, of a group.
+type Purge struct {
+	Object string
+	Group  int
+	At     float64 // Unix ms
+}
+
+// Notice is one event of the notice board.
+type Notice struct {
+	Rev     uint64
+	Whole   bool
+	Members []Member
+	Purge   *Purge
+}
+
+// Counters are what operators may read. They only rise, but for Open.
+type Counters struct {
+	Requests, Served, Refused, Failed, Gone, Attempts, Timeouts, Stale, Notices, Open atomic.Int64
+}
+
+// Core is one steering proxy.
+type Core struct {
+	clock    *clock.Clock
+	up       Upstream
+	set      policy.Settings
+	classes  []string
+	mostHeld int
+	goodFor  float64 // ms for which a decision may wait for its first byte
+	Counters Counters
+
+	mu     sync.Mutex
+	router *policy.Router
+	acts   []policy.Action
+	lives  map[string]*life
+	lines  int
+}
+
+// life is one request under way. Only its own goroutine touches attempts.
+type life struct {
+	q        Request
+	acts     chan policy.Action
+	ends     chan ended
+	attempts []*attempt
+}
+
+type attempt struct {
+	to    policy.CacheID
+	sent  float64
+	until float64
+	open  bool
+	abort func()
+}
+
+type ended struct {
+	no int
+	End
+}
+
+// Room for all that one request's life can be told: most tries, their cancels and the final answer.
+const (
+	mostTries = 64
+	mailbox   = 2*mostTries + 2
+	mostLines = 500 // log lines from the module
+)
+
+// New returns a core around a new Router. classes are the names of the classes, and mostHeld bounds how
+// many requests are open at once (0: 4096).
+func New(set policy.Settings, classes []string, mostHeld int, seed uint64, c *clock.Clock, up Upstream) (*Core, error) {
+	if len(classes) != len(set.Classes) {
+		return nil, fmt.Errorf("core: %d names for %d classes", len(classes), len(set.Classes))
+	}
+	router, err := policy.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	if mostHeld <= 0 {
+		mostHeld = 4096
+	}
+	// News heard after a decision binds only after its grace: a decision written within half the shorter
+	// grace can break neither the rule on drains nor the one on purges, which count from the first byte.
+	good := 500.0
+	for _, grace := range []float64{clock.Ms(set.DrainGrace), clock.Ms(set.PurgeNotice)} {
+		if grace > 0 {
+			good = min(good, grace/2)
+		}
+	}
+	return &Core{
+		clock: c, up: up, set: set, classes: classes, mostHeld: mostHeld, goodFor: good,
+		router: router, lives: map[string]*life{},
+	}, nil
+}
+
+// Settings are the facts that the core was started with.
+func (c *Core) Settings() policy.Settings { return c.set }
+
+// ClassOf finds a class by its name; -1 if there is none.
+func (c *Core) ClassOf(name string) int {
+	for i, n := range c.classes {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Do lives one request from its arrival to its one final answer. When ctx ends, the client has left.
+func (c *Core) Do(ctx context.Context, q Request) Answer {
+	l, refused := c.open(q)
+	if l == nil {
+		return refused
+	}
+	defer c.close(l)
+	c.tell(policy.Request{
+		ID: q.ID, Left: clock.Duration(q.Deadline - c.clock.Now()), Class: q.Class, Object: q.Object, Part: q.Part,
+		Group: q.Group, SizeKB: q.SizeKB, Repeat: q.Repeat, Write: c.set.Classes[q.Class].Uncached,
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			c.tell(policy.ClientLeft{ID: q.ID})
+			return c.final(Answer{Verdict: Gone})
+		case act := <-l.acts:
+			switch x := act.(type) {
+			case policy.Ask:
+				c.send(l, policy.Get{ID: x.ID, Cache: x.Cache, Source: x.Cache, Timeout: x.Timeout})
+			case policy.Get:
+				c.send(l, x)
+			case policy.Cancel:
+				if a := l.at(x.Attempt); a != nil && a.open {
+					a.abort()
+					c.outcome(l, ended{x.Attempt, End{Result: policy.Cancelled}})
+				}
+			case policy.Refuse:
+				return c.final(Answer{Verdict: Refused, Backoff: clock.Ms(x.RetryAfter)})
+			case policy.Fail:
+				return c.final(Answer{Verdict: Failed})
+			}
+		case e := <-l.ends:
+			if a := l.at(e.no); a == nil || !a.open {
+				break // called off before its end was read
+			}
+			c.outcome(l, e)
+			if e.Result == policy.OK {
+				return c.final(Answer{Verdict: Served, Body: e.Body, Tag: e.Tag, Same: e.Same})
+			}
+		}
+	}
+}
+
+func (l *life) at(no int) *attempt {
+	if no < 0 || no >= len(l.attempts) {
+		return nil
+	}
+	return l.attempts[no]
+}
+
+// open books a request, or says how one is turned away that can't be lived.
+func (c *Core) open(q Request) (*life, Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Counters.Requests.Add(1)
+	switch {
+	case q.Class < 0 || q.Class >= len(c.classes) || c.lives[q.ID] != nil:
+		c.Counters.Failed.Add(1)
+		return nil, Answer{Verdict: Failed}
+	case len(c.lives) >= c.mostHeld:
+		c.Counters.Refused.Add(1)
+		return nil, Answer{Verdict: Refused, Backoff: clock.Ms(c.set.MaxRetryAfter)}
+	}
+	l := &life{q: q, acts: make(chan policy.Action, mailbox), ends: make(chan ended, mostTries)}
+	c.lives[q.ID] = l
+	c.Counters.Open.Add(1)
+	return l, Answer{}
+}
+
+// close calls off what is still out and forgets the request. An attempt whose own time is up counts as
+// timed out: the module's deadline timer and the attempt's come at the same moment, in either order.
+func (c *Core) close(l *life) {
+	for no, a := range l.attempts {
+		if !a.open {
+			continue
+		}
+		a.abort()
+		result := policy.Cancelled
+		if c.clock.Now() >= a.until-atOnce {
+			result = policy.TimedOut
+		}
+		c.outcome(l, ended{no, End{Result: result}})
+	}
+	c.mu.Lock()
+	delete(c.lives, l.q.ID)
+	c.mu.Unlock()
+	c.Counters.Open.Add(-1)
+}
+
+// atOnce: timers that are due within so many milliseconds of one another are due together.
+const atOnce = 5
+
+func (c *Core) final(a Answer) Answer {
+	n := &c.Counters
+	[]*atomic.Int64{Served: &n.Served, Refused: &n.Refused, Failed: &n.Failed, Gone: &n.Gone}[a.Verdict].Add(1)
+	return a
+}
+
+func (c *Core) send(l *life, g policy.Get) {
+	now := c.clock.Now()
+	ttl := l.q.Deadline - now
+	if g.Timeout > 0 {
+		ttl = min(ttl, clock.Ms(g.Timeout))
+	}
+	sendBy := now + c.goodFor
+	if l.q.SendBy > 0 {
+		sendBy = min(sendBy, l.q.SendBy)
+	}
+	no := len(l.attempts)
+	a := &attempt{to: g.Cache, sent: now, until: now + ttl, open: true}
+	l.attempts = append(l.attempts, a)
+	c.Counters.Attempts.Add(1)
+	invariant.Check(no < mostTries, "a request's attempts are bounded")
+	a.abort = c.up.Send(Attempt{
+		ID: l.q.ID, Class: c.classes[l.q.Class], Object: l.q.Object, Part: l.q.Part, Holds: l.q.Holds,
+		Body: l.q.Body, To: g.Cache, Source: g.Source, TTL: ttl, Age: clock.Ms(g.Age), Keep: g.Keep, How: g.How,
+		SendBy: sendBy,
+	}, func(e End) { l.ends <- ended{no, e} })
+}
+
+// outcome tells the module how an attempt ended.
+func (c *Core) outcome(l *life, e ended) {
+	a := l.attempts[e.no]
+	invariant.Check(a.open, "an attempt ends once")
+	a.open = false
+	switch e.Result {
+	case policy.TimedOut:
+		c.Counters.Timeouts.Add(1)
+	case policy.Moot:
+		c.Counters.Stale.Add(1)
+	}
+	c.tell(policy.Outcome{
+		ID: l.q.ID, Attempt: e.no, Cache: a.to, Result: e.Result, Note: e.Note, Closed: e.Result == policy.OK,
+		Latency: clock.Duration(c.clock.Now() - a.sent), Waited: clock.Duration(e.Waited), Load: e.Load,
+	})
+}
+
+// Notice takes in one event of the notice board.
+func (c *Core) Notice(n Notice) {
+	c.Counters.Notices.Add(1)
+	if p := n.Purge; p != nil {
+		c.tell(policy.Purged{Object: p.Object, Group: p.Group, Age: clock.Duration(c.clock.Now() - p.At)})
+		return
+	}
+	e := policy.Members{Version: int64(n.Rev)}
+	if n.Whole {
+		e.Kind = policy.ListWhole
+	}
+	for _, m := range n.Members {
+		e.Entries = append(e.Entries, m.Member)
+	}
+	c.up.Members(n.Members, n.Whole)
+	c.tell(e)
+}
+
+// tell hands one event to the module and its actions, in order, to those they are for.
+func (c *Core) tell(e policy.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.acts = c.router.Handle(clock.Duration(c.clock.Now()), e, c.acts[:0])
+	for _, act := range c.acts {
+		switch x := act.(type) {
+		case policy.Ask:
+			c.post(x.ID, act)
+		case policy.Get:
+			c.post(x.ID, act)
+		case policy.Cancel:
+			c.post(x.ID, act)
+		case policy.Refuse:
+			c.post(x.ID, act)
+		case policy.Fail:
+			c.post(x.ID, act)
+		case policy.SetTimer:
+			c.clock.After(clock.Ms(x.After), func() { c.tell(policy.Timer{Token: x.Token}) })
+		case policy.Probe:
+			go c.probe(x.Cache)
+		case policy.CloseIdle:
+			go c.up.CloseIdle(x.Cache)
+		case policy.Log:
+			if c.lines++; c.lines <= mostLines {
+				log.Print(x.Text)
+			}
+		}
+	}
+}
+
+func (c *Core) post(id string, act policy.Action) {
+	l := c.lives[id]
+	if l == nil {
+		return // it ended while the module decided
+	}
+	select {
+	case l.acts <- act:
+	default:
+		invariant.Check(false, "a request's mailbox has room")
+	}
+}
+
+func (c *Core) probe(to policy.CacheID) {
+	sent := c.clock.Now()
+	c.up.Probe(to, func(e End) {
+		c.tell(policy.Probed{Cache: to, Result: e.Result, Latency: clock.Duration(c.clock.Now() - sent), Load: e.Load})
+	})
+}
--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,21 @@
+// Package invariant asserts what must hold: a breach panics in builds with -tags debug and is counted in
+// all others.
+package invariant
+
+import "sync/atomic"
+
+var broken atomic.Int64
+
+// Check asserts that ok holds; what names the invariant.
+func Check(ok bool, what string) {
+	if ok {
+		return
+	}
+	if debug {
+		panic("invariant broken: " + what)
+	}
+	broken.Add(1)
+}
+
+// Broken is how many breaches were counted since the start.
+func Broken() int64 { return broken.Load() }
--- /dev/null
+++ b/internal/invariant/release.go
@@ -0,0 +1,5 @@
+//go:build !debug
+
+package invariant
+
+const debug = false
--- /dev/null
+++ b/internal/respfront/front.go
@@ -0,0 +1,255 @@
+// Package respfront speaks the platform's protocol with clients: RESP arrays, many requests open on a
+// connection, answers in any order. It is thin: what becomes of a request is the core's to say.
+package respfront
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/invariant"
+	"ravenwheel/internal/resp"
+)
+
+// Doer lives a request from its arrival to its one final answer.
+type Doer interface {
+	Do(context.Context, core.Request) core.Answer
+	ClassOf(name string) int
+}
+
+const (
+	mostOpen = 32 // requests on one connection
+	// mostOut bounds what waits for a slow reader: as much as a full connection may be owed.
+	mostOut = mostOpen * (240_000 + 1024)
+	// writeWait: a client that takes nothing for so long has given up all that it waited for.
+	writeWait = 10 * time.Second
+)
+
+// Front serves clients on one listener.
+type Front struct {
+	clock *clock.Clock
+	core  Doer
+	conns atomic.Int64
+	most  int64
+	busy  atomic.Int64 // requests open and bytes not yet written
+	srv   *redcon.Server
+	ln    net.Listener
+}
+
+// New returns a front on ln that holds at most so many connections.
+func New(ln net.Listener, most int, c *clock.Clock, d Doer) *Front {
+	f := &Front{clock: c, core: d, most: int64(most), ln: ln}
+	f.srv = redcon.NewServer(ln.Addr().String(), f.first, nil, nil)
+	return f
+}
+
+// Serve accepts connections until Close.
+func (f *Front) Serve() error { return f.srv.Serve(guarded{f.ln, f}) }
+
+// Close stops accepting; connections that are open go on.
+func (f *Front) Close() error { return f.ln.Close() }
+
+// Idle tells whether nothing is owed to any client.
+func (f *Front) Idle() bool { return f.busy.Load() == 0 }
+
+// first takes a connection over from redcon, whose own loop would answer in order.
+func (f *Front) first(rc redcon.Conn, cmd redcon.Command) {
+	go f.live(rc.Detach(), cmd)
+}
+
+// guarded accepts connections whose reads are checked, and no more of them than the front may hold.
+type guarded struct {
+	net.Listener
+	front *Front
+}
+
+func (g guarded) Accept() (net.Conn, error) {
+	for {
+		nc, err := g.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if g.front.conns.Add(1) <= g.front.most {
+			return &guard{Conn: nc, front: g.front}, nil
+		}
+		g.front.conns.Add(-1)
+		nc.Close()
+	}
+}
+
+// guard hands on whole frames only. It guards redcon's reader, which panics on a bulk length near the
+// largest integer, spins on a large count and grows without bound: such bytes end the connection.
+type guard struct {
+	net.Conn
+	front *Front
+	once  sync.Once
+	buf   resp.Buffer
+	rest  []byte
+}
+
+func (g *guard) Close() error {
+	g.once.Do(func() { g.front.conns.Add(-1) })
+	return g.Conn.Close()
+}
+
+func (g *guard) Read(p []byte) (n int, err error) {
+	if len(g.rest) == 0 {
+		if _, g.rest, err = g.buf.Next(g.Conn); err != nil {
+			return 0, err
+		}
+	}
+	n = copy(p, g.rest)
+	g.rest = g.rest[n:]
+	return n, nil
+}
+
+// client is one connection. Its writer sends what answers have put into the one out buffer.
+type client struct {
+	front *Front
+	nc    net.Conn
+
+	mu     sync.Mutex
+	out    []byte
+	open   map[string]context.CancelFunc // by tag
+	closed bool
+	wake   chan struct{}
+}
+
+// live reads a connection's commands until it ends, which gives up all that is open on it.
+func (f *Front) live(dc redcon.DetachedConn, cmd redcon.Command) {
+	c := &client{front: f, nc: dc.NetConn(), open: map[string]context.CancelFunc{}, wake: make(chan struct{}, 1)}
+	ctx, leave := context.WithCancel(context.Background())
+	go c.write()
+	err := error(nil)
+	for err == nil {
+		if err = c.command(ctx, cmd.Args); err == nil {
+			cmd, err = dc.ReadCommand()
+		}
+	}
+	leave()
+	c.close()
+}
+
+var errTag = errors.New("a tag that can't be answered")
+
+func (c *client) command(ctx context.Context, args [][]byte) error {
+	if len(args) < 2 || !isTag(args[1]) {
+		return errTag
+	}
+	tag := string(args[1])
+	switch string(args[0]) {
+	case "RPC.CALL":
+		return c.call(ctx, tag, args[2:])
+	case "RPC.CANCEL":
+		c.mu.Lock()
+		if cancel := c.open[tag]; cancel != nil {
+			cancel()
+		}
+		c.mu.Unlock()
+	case "RPC.HEALTH":
+		c.send(resp.Append(nil, tag, "yes"))
+	default:
+		c.send(resp.Append(nil, tag, "fault"))
+	}
+	return nil
+}
+
+// call opens a request and lets it live in a goroutine of its own.
+func (c *client) call(ctx context.Context, tag string, args [][]byte) error {
+	now := c.front.clock.Now()
+	q, ok := readCall(args, now, c.front.core.ClassOf)
+	ctx, cancel := context.WithCancel(ctx)
+	c.mu.Lock()
+	used, full := c.open[tag] != nil, len(c.open) >= mostOpen
+	if !used && !full && ok {
+		c.open[tag] = cancel
+	}
+	c.mu.Unlock()
+	switch {
+	case used: // an answer of ours would be a second one under this tag
+		cancel()
+		return errTag
+	case full || !ok:
+		cancel()
+		c.send(resp.Append(nil, tag, "fault"))
+		return nil
+	}
+	c.front.busy.Add(1)
+	go func() {
+		defer c.front.busy.Add(-1)
+		defer cancel()
+		a := c.front.core.Do(ctx, q)
+		c.mu.Lock()
+		invariant.Check(c.open[tag] != nil, "a tag is answered once")
+		delete(c.open, tag)
+		c.mu.Unlock()
+		if a.Verdict != core.Gone {
+			c.send(frame(tag, a))
+		}
+	}()
+	return nil
+}
+
+// send queues one whole answer for the writer.
+func (c *client) send(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	if len(c.out)+len(b) > mostOut {
+		c.nc.Close() // reads nothing: the reader sees the end
+		return
+	}
+	c.out = append(c.out, b...)
+	c.front.busy.Add(int64(len(b)))
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *client) write() {
+	for range c.wake {
+		c.mu.Lock()
+		b := c.out[:len(c.out):len(c.out)]
+		c.mu.Unlock()
+		for len(b) > 0 {
+			_ = c.nc.SetWriteDeadline(time.Now().Add(writeWait))
+			if _, err := c.nc.Write(b); err != nil {
+				c.nc.Close()
+				return
+			}
+			// Compacted in place: what came meanwhile moves to the front.
+			c.mu.Lock()
+			if c.closed {
+				c.mu.Unlock()
+				return
+			}
+			c.front.busy.Add(-int64(len(b)))
+			c.out = c.out[:copy(c.out, c.out[len(b):])]
+			b = c.out[:len(c.out):len(c.out)]
+			if len(b) == 0 && cap(c.out) > 1<<20 {
+				c.out = nil // a burst is over: its memory goes back
+			}
+			c.mu.Unlock()
+		}
+	}
+}
+
+func (c *client) close() {
+	c.mu.Lock()
+	c.closed = true
+	c.front.busy.Add(-int64(len(c.out)))
+	c.out = nil
+	close(c.wake)
+	c.mu.Unlock()
+	c.nc.Close()
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,258 @@
+package upstream
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/invariant"
+	"ravenwheel/internal/resp"
+	"ravenwheel/policy"
+)
+
+// call is one attempt or probe on its way. Its connection's lock guards its state.
+type call struct {
+	id      string
+	to      policy.CacheID
+	frame   []byte
+	sendBy  float64 // Unix ms; 0: any time
+	ttl     float64
+	expired policy.Result
+	end     func(core.End)
+
+	once    sync.Once
+	over    bool
+	written bool
+	sent    float64
+}
+
+// finish reports the end, unless the call was forgotten or has ended.
+func (c *call) finish(e core.End) { c.once.Do(func() { c.end(e) }) }
+
+// forget gives the call up: its end will not be reported.
+func (c *call) forget() { c.once.Do(func() {}) }
+
+// conn is one connection. Its writer (run) dials, then writes what is queued; its reader hands out answers.
+type conn struct {
+	pool *pool
+
+	mu     sync.Mutex
+	queue  []*call          // not written yet
+	aborts []string         // ids whose abort is not written yet
+	open   map[string]*call // queued or written, not over
+	given  map[string]bool  // given up after they were written: an answer may still come
+	nc     net.Conn
+	heard  float64 // when an answer came last
+	used   float64 // when the connection last had a call
+	closed bool    // takes nothing more
+	wake   chan struct{}
+}
+
+// mostGiven: with so many answers still owed to nobody, a connection takes no new calls.
+const mostGiven = 256
+
+// writeWait: a connection that takes no bytes for so long is broken.
+const writeWait = 3 * time.Second
+
+func newConn(pl *pool) *conn {
+	return &conn{
+		pool: pl, open: map[string]*call{}, given: map[string]bool{}, wake: make(chan struct{}, 1),
+		used: pl.all.clock.Now(),
+	}
+}
+
+func (k *conn) signal() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take queues a call if this connection may carry it. One that still owes the answer to an earlier attempt
+// of the same request may not: the two answers could not be told apart.
+func (k *conn) take(c *call) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed || len(k.open) >= k.pool.all.limits.PerConn || len(k.given) >= mostGiven ||
+		k.given[c.id] || k.open[c.id] != nil {
+		return false
+	}
+	k.open[c.id] = c
+	k.queue = append(k.queue, c)
+	k.used = k.pool.all.clock.Now()
+	k.signal()
+	return true
+}
+
+// giveUp ends a call whose time is up, or forgets one that was aborted. What was never written never ran.
+func (k *conn) giveUp(c *call, timeout bool) {
+	k.mu.Lock()
+	if c.over {
+		k.mu.Unlock()
+		return
+	}
+	c.over = true
+	delete(k.open, c.id)
+	result := policy.Moot
+	if c.written {
+		result = c.expired
+		k.given[c.id] = true
+		k.aborts = append(k.aborts, c.id)
+		// Guards against a machine that vanished: its connections stay open and silent, and a trial over
+		// one would find it dead after it is back. No answer since the call was sent: no new calls here.
+		if timeout && k.heard < c.sent {
+			k.closed = true
+		}
+		k.signal()
+	}
+	k.mu.Unlock()
+	if timeout {
+		c.finish(core.End{Result: result})
+	} else {
+		c.forget()
+	}
+}
+
+// retire lets a connection take nothing more; an idle one ends.
+func (k *conn) retire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed = true
+	k.signal()
+}
+
+func (k *conn) run() {
+	nc, err := net.DialTimeout("tcp", k.pool.addr, clock.Duration(k.pool.all.limits.Connect))
+	if err != nil {
+		k.end(policy.ConnectFailed, policy.ConnectFailed)
+		return
+	}
+	k.mu.Lock()
+	k.nc = nc
+	k.mu.Unlock()
+	go k.read(nc)
+	idle := k.pool.all.limits.Idle
+	stop := func() {} // of the one idle timer
+	var out []byte
+	for range k.wake {
+		var dead []*call
+		var done bool
+		if out, dead, done = k.collect(out[:0]); len(out) > 0 {
+			_ = nc.SetWriteDeadline(time.Now().Add(writeWait))
+			if _, err := nc.Write(out); err != nil {
+				nc.Close()
+			}
+		}
+		for _, c := range dead {
+			c.finish(core.End{Result: policy.Moot})
+		}
+		stop()
+		if done {
+			nc.Close() // the reader ends what is left
+			return
+		}
+		if idle > 0 {
+			stop = k.pool.all.clock.After(idle/2+1, k.signal)
+		}
+	}
+}
+
+// collect gathers what is to be written. It is called right before the write: a call whose decision has
+// become too old by now, while the connection came up or was blocked, is not written and never ran.
+func (k *conn) collect(out []byte) (_ []byte, dead []*call, done bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.pool.all.clock.Now()
+	for _, c := range k.queue {
+		switch {
+		case c.over:
+		case c.sendBy > 0 && now > c.sendBy:
+			c.over = true
+			delete(k.open, c.id)
+			dead = append(dead, c)
+		default:
+			c.written, c.sent = true, now
+			out = append(out, c.frame...)
+		}
+		c.frame = nil
+	}
+	for _, id := range k.aborts {
+		out = resp.Append(out, "abort", id)
+	}
+	k.queue, k.aborts = k.queue[:0], k.aborts[:0]
+	if len(k.open) > 0 {
+		k.used = now
+	} else if idle := k.pool.all.limits.Idle; idle > 0 && now-k.used >= idle/2 {
+		k.closed = true // before the other side closes it under a new call
+	}
+	return out, dead, k.closed && len(k.open) == 0
+}
+
+func (k *conn) read(nc net.Conn) {
+	var buf resp.Buffer
+	for {
+		parts, _, err := buf.Next(nc)
+		if err == nil {
+			err = k.answer(parts)
+		}
+		if err != nil {
+			nc.Close()
+			// What was still to be written never ran, and says nothing of who listens there.
+			k.end(policy.Reset, policy.Moot)
+			k.signal()
+			return
+		}
+	}
+}
+
+func (k *conn) answer(parts [][]byte) error {
+	id, e, err := readAnswer(parts)
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	c := k.open[id]
+	known := c != nil && c.written
+	if known {
+		c.over = true
+		delete(k.open, id)
+	} else {
+		// Guards against passing on an answer to an attempt that was given up: dropped and counted.
+		delete(k.given, id)
+		k.pool.all.Late.Add(1)
+	}
+	now := k.pool.all.clock.Now()
+	k.heard, k.used = now, now
+	if k.closed {
+		k.signal()
+	}
+	k.mu.Unlock()
+	if known {
+		c.finish(e)
+	}
+	return nil
+}
+
+// end closes the connection's books: calls that were written may have run, the others never did.
+func (k *conn) end(written, queued policy.Result) {
+	k.pool.remove(k)
+	k.mu.Lock()
+	k.closed = true
+	var calls []*call
+	for _, c := range k.open {
+		invariant.Check(!c.over, "an open call is not over")
+		c.over = true
+		calls = append(calls, c)
+	}
+	clear(k.open)
+	k.mu.Unlock()
+	for _, c := range calls {
+		result := queued
+		if c.written {
+			result = written
+		}
+		c.finish(core.End{Result: result})
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,177 @@
+// Package upstream carries attempts to cache servers: few connections to each, many attempts on one,
+// answers in any order. It decides nothing; it maps each way in which an attempt can end exactly.
+package upstream
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/policy"
+)
+
+// Limits bound what the connections may take.
+type Limits struct {
+	PerConn int     // attempts out on one connection
+	Conns   int     // connections to one cache server
+	Connect float64 // ms until a connection must be up
+	Idle    float64 // ms after which the other side closes an idle connection
+}
+
+// Pools are the connections to all cache servers.
+type Pools struct {
+	clock  *clock.Clock
+	limits Limits
+	probes atomic.Uint64
+	Late   atomic.Int64 // answers that came after their attempt was over
+
+	mu    sync.Mutex
+	pools map[policy.CacheID]*pool
+}
+
+// pool is the connections to one cache server at one address.
+type pool struct {
+	all  *Pools
+	addr string
+
+	mu    sync.Mutex
+	conns []*conn
+}
+
+// New returns pools without a cache server.
+func New(c *clock.Clock, l Limits) *Pools {
+	l.PerConn, l.Conns = max(1, l.PerConn), max(1, l.Conns)
+	return &Pools{clock: c, limits: l, pools: map[policy.CacheID]*pool{}}
+}
+
+// Members tells where cache servers are. One that is gone, or has moved, loses its idle connections; what
+// is out on the others runs on.
+func (p *Pools) Members(list []core.Member, whole bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var left []*pool
+	drop := func(id policy.CacheID) {
+		if old := p.pools[id]; old != nil {
+			left = append(left, old)
+			delete(p.pools, id)
+		}
+	}
+	listed := map[policy.CacheID]bool{}
+	for _, m := range list {
+		listed[m.ID] = m.State != policy.Gone
+		if old := p.pools[m.ID]; m.State == policy.Gone || old != nil && old.addr != m.Addr {
+			drop(m.ID)
+		}
+		if m.State != policy.Gone && p.pools[m.ID] == nil {
+			p.pools[m.ID] = &pool{all: p, addr: m.Addr}
+		}
+	}
+	if whole {
+		for id := range p.pools {
+			if !listed[id] {
+				drop(id)
+			}
+		}
+	}
+	for _, old := range left {
+		go old.closeIdle()
+	}
+}
+
+func (p *Pools) pool(id policy.CacheID) *pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pools[id]
+}
+
+// CloseIdle closes the idle connections to a cache server.
+func (p *Pools) CloseIdle(to policy.CacheID) {
+	if pl := p.pool(to); pl != nil {
+		pl.closeIdle()
+	}
+}
+
+// Conns is the number of connections held.
+func (p *Pools) Conns() (n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pl := range p.pools {
+		pl.mu.Lock()
+		n += len(pl.conns)
+		pl.mu.Unlock()
+	}
+	return n
+}
+
+// Send starts an attempt; see core.Upstream.
+func (p *Pools) Send(a core.Attempt, end func(core.End)) (abort func()) {
+	return p.start(&call{
+		id: a.ID, to: a.To, frame: frame(a), sendBy: a.SendBy, ttl: a.TTL, expired: policy.TimedOut, end: end,
+	})
+}
+
+// Probe asks a cache server how it is. The tag is a request id that no client makes.
+func (p *Pools) Probe(to policy.CacheID, end func(core.End)) {
+	id, raw := probeFrame(p.probes.Add(1))
+	p.start(&call{id: id, to: to, frame: raw, ttl: probeWait, expired: policy.TimedOut, end: end})
+}
+
+const probeWait = 250
+
+// start puts a call on a connection and its time-out on the clock.
+func (p *Pools) start(c *call) (abort func()) {
+	pl := p.pool(c.to)
+	if pl == nil { // it has left the list since
+		go c.finish(core.End{Result: policy.Moot})
+		return c.forget
+	}
+	conn := pl.place(c)
+	if conn == nil { // all connections are taken: it is not sent, and the module chooses anew
+		go c.finish(core.End{Result: policy.Moot})
+		return c.forget
+	}
+	stop := p.clock.After(c.ttl, func() { conn.giveUp(c, true) })
+	return func() {
+		stop()
+		conn.giveUp(c, false)
+	}
+}
+
+// place finds room for a call: a connection in use, else a new one.
+func (pl *pool) place(c *call) *conn {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	for _, k := range pl.conns {
+		if k.take(c) {
+			return k
+		}
+	}
+	if len(pl.conns) >= pl.all.limits.Conns {
+		return nil
+	}
+	k := newConn(pl)
+	k.take(c)
+	pl.conns = append(pl.conns, k)
+	go k.run()
+	return k
+}
+
+func (pl *pool) remove(k *conn) {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	for i, o := range pl.conns {
+		if o == k {
+			pl.conns = append(pl.conns[:i], pl.conns[i+1:]...)
+			return
+		}
+	}
+}
+
+func (pl *pool) closeIdle() {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	for _, k := range pl.conns {
+		k.retire()
+	}
+}
--- /dev/null
+++ b/internal/upstream/wire.go
@@ -0,0 +1,117 @@
+package upstream
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/resp"
+	"ravenwheel/policy"
+)
+
+// Name is a cache server's id as text.
+func Name(id policy.CacheID) string { return fmt.Sprintf("s-%08x", uint64(id)) }
+
+var hows = []struct {
+	bit  policy.How
+	word string
+}{
+	{policy.Join, "coalesce"}, {policy.HeldOnly, "shallow"}, {policy.ParentPasses, "transit"}, {policy.Renew, "freshen"},
+}
+
+// notes are the words of why, in the order of policy.Note from NoteHit on.
+var notes = []string{
+	"local", "pulled", "pulled_far", "rode", "expired", "turned_away", "cut_off", "not_there", "no_place", "far_fault",
+}
+
+var results = map[string]policy.Result{
+	"served": policy.OK, "still_good": policy.OK, "not_here": policy.Miss, "overload": policy.Full,
+	"crashed": policy.Failed, "nobody": policy.Moot, "green": policy.OK, "red": policy.Failed,
+}
+
+// loads maps the names in a report to those of the module.
+var loads = map[string]string{
+	"inflight": "inflight", "queue": "queue", "util": "util", "latency_ms": "latency", "qps": "served",
+	"eps": "errors", "x0": "hits", "x1": "link",
+}
+
+// frame is an attempt as the cache servers read it.
+func frame(a core.Attempt) []byte {
+	f := append(make([]byte, 0, 160), "lane="...)
+	f = append(f, a.Class...)
+	add := func(name, value string) {
+		f = append(f, ',')
+		f = append(f, name...)
+		f = append(f, '=')
+		f = append(f, value...)
+	}
+	add("name", a.Object)
+	add("piece", strconv.Itoa(a.Part))
+	add("ttl", strconv.Itoa(max(1, int(math.Ceil(a.TTL)))))
+	if a.Source != a.To {
+		add("fetch", Name(a.Source))
+	}
+	if a.Keep > 0 {
+		add("retain", strconv.Itoa(a.Keep))
+	}
+	if a.Age > 0 {
+		// Rounded down, as an older copy would not do; 0 would mean the class's own time.
+		add("newer", strconv.Itoa(max(1, int(a.Age))))
+	}
+	var words []string
+	for _, h := range hows {
+		if a.How&h.bit != 0 {
+			words = append(words, h.word)
+		}
+	}
+	if len(words) > 0 {
+		add("handle", strings.Join(words, "+"))
+	}
+	if a.Holds != "" {
+		add("holds", a.Holds)
+	}
+	return resp.Append(nil, "fetch", a.ID, string(f), string(a.Body))
+}
+
+func probeFrame(n uint64) (id string, raw []byte) {
+	id = fmt.Sprintf("probe-%d", n)
+	return id, resp.Append(nil, "stats", id)
+}
+
+// readAnswer reads one answer: id, word, fields, body. An unknown word is an end that may have run.
+func readAnswer(parts [][]byte) (id string, e core.End, err error) {
+	if len(parts) < 2 {
+		return "", e, resp.ErrMalformed
+	}
+	word := string(parts[1])
+	fields := map[string]string{}
+	if len(parts) > 2 {
+		var ok bool
+		if fields, ok = resp.Fields(parts[2]); !ok {
+			return "", e, resp.ErrMalformed
+		}
+	}
+	e.Result, e.Same, e.Tag = results[word], word == "still_good", fields["version"]
+	for i, w := range notes {
+		if fields["why"] == w {
+			e.Note = policy.NoteHit + policy.Note(i)
+		}
+	}
+	e.Waited, _ = strconv.ParseFloat(fields["took"], 64)
+	if len(parts) > 3 && e.Result == policy.OK && !e.Same {
+		e.Body = bytes.Clone(parts[3])
+	}
+	for _, pair := range strings.Split(fields["rep"], ";") {
+		name, value, _ := strings.Cut(pair, ":")
+		if v, err := strconv.ParseFloat(value, 64); err == nil && loads[name] != "" {
+			if e.Load == nil {
+				e.Load = policy.Load{}
+			}
+			e.Load[loads[name]] = v
+		}
+	}
+	return string(parts[0]), e, nil
+}
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"walkfold/policy"
+	"ravenwheel/policy"
 )
 
 // A router of someone else's: it tells the module what happens and does what it is told.
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"walkfold/policy"
+	"ravenwheel/policy"
 )
 
 // env holds the settings as they come; keys that it does not list are skipped.
@@ -66,7 +66,8 @@
 	return v
 }
 
-func decodeSettings(raw json.RawMessage) (policy.Settings, error) {
+// DecodeSettings reads the settings object of the simulator and of the platform's configuration.
+func DecodeSettings(raw json.RawMessage) (policy.Settings, error) {
 	var e env
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return policy.Settings{}, fmt.Errorf("settings: %w", err)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"walkfold/policy"
+	"ravenwheel/policy"
 )
 
 // Boot starts an instance.
@@ -163,7 +163,7 @@
 		if v.err != nil {
 			return nil
 		}
-		s, err := decodeSettings(env)
+		s, err := DecodeSettings(env)
 		if err != nil {
 			v.err = fmt.Errorf("event Boot: Env: %w", err)
 		}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"walkfold/policy"
+	"ravenwheel/policy"
 )
 
 func TestDecodeEvents(t *testing.T) {
