Scale the module's limits with the links it is told of

One late answer takes a tenth of a limit, so at 30 times the answers a few late ones a second held it down. Faulty lines: crowded() and adapt() compared and moved absolute numbers of places. Concluded: the loss was the module's scale.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,11 @@
 	sourceStart, sourceLeast = 16.0, 0.1
 	limitShrink, limitRaise  = 0.9, 0.1
 	limitStep                = 2.0
-	limitEvery, limitSpeaks  = 100 * time.Millisecond, 4.0
+	// usualLink: the limits above are in places of caches whose links hold so many transfers. Where those told
+	// hold more, a place stands for as many more, and one answer speaks for that much less of a limit: a few
+	// late ones a second would else keep the limits of a large fleet at those of a small one.
+	usualLink               = 8.0
+	limitEvery, limitSpeaks = 100 * time.Millisecond, 4.0
 	// lowStanding: the part of a limit open to classes that earn little for their sending time. Lower
 	// serves more small answers in a jam, and fewer large ones.
 	lowStanding = 0.75
@@ -86,7 +90,7 @@
 		set: s, rng: mix(seed), reqs: map[string]*request{}, timers: map[uint64]timer{},
 		known: map[CacheID]*target{}, memory: newBounded[place, holder](memorySize),
 		objectPurged: newBounded[string, Time](memorySize), groupPurged: newBounded[int, Time](memorySize),
-		fillShare: 0.5, originShare: 0.1,
+		fillShare: 0.5, originShare: 0.1, scale: 1,
 	}
 	r.set.Routers = max(1, s.Routers)
 	r.set.Classes = append([]Class(nil), s.Classes...)
@@ -326,7 +330,7 @@
 // is answered in time, or it said that it was full. A limit is kept by chance, one draw a request, so that
 // one below a single attempt still lets its part through.
 func (r *Router) crowded(q *request, t *target, taken float64) bool {
-	return r.now < t.fullUntil || taken+q.luck > t.limit
+	return r.now < t.fullUntil || taken+q.luck > t.limit*r.scale
 }
 
 // standing is the part of a limit that a class may use. In a jam a place is best given to the class that
@@ -362,11 +366,11 @@
 	}
 	speaks := min(limitSpeaks, max(1, float64(r.now-t.heard)/float64(limitEvery)))
 	switch {
-	case 2*(r.places(t)+1) < t.limit:
+	case 2*(r.places(t)+1) < t.limit*r.scale:
 	case late:
-		t.limit *= math.Pow(limitShrink, speaks)
+		t.limit *= math.Pow(limitShrink, speaks/r.scale)
 	default:
-		t.limit += min(limitStep/sharers/t.limit, limitRaise*speaks*t.limit)
+		t.limit += min(limitStep/sharers/t.limit, limitRaise*speaks*t.limit) / r.scale
 	}
 	t.limit, t.heard = max(t.limit, least), r.now
 }
@@ -831,6 +835,12 @@
 		}
 	}
 	r.relist()
+	if total := 0.0; r.set.WeightsTold && len(r.caches) > 0 {
+		for _, c := range r.caches {
+			total += c.Weight
+		}
+		r.scale = max(1, total/float64(len(r.caches))/usualLink)
+	}
 }
 
 // ---- Purge ages ----
--- a/policy/state.go
+++ b/policy/state.go
@@ -124,6 +124,7 @@
 	origin  *target
 	link    *target // the location's link in, which all its fills share
 	watched bool
+	scale   float64 // how many places one of a limit stands for
 
 	memory       *bounded[place, holder]
 	objectPurged *bounded[string, Time]
