--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,9 +44,9 @@
 	sourceStart, sourceLeast = 16.0, 0.1
 	limitShrink, limitRaise  = 0.9, 0.1
 	limitStep                = 2.0
-	// usualLink: the limits above are in places of caches whose links hold so many transfers. Where those told
-	// hold more, a place stands for as many more, and one answer speaks for that much less of a limit: a few
-	// late ones a second would else keep the limits of a large fleet at those of a small one.
+	// usualLink: the limits above are in places of caches whose links hold so many transfers. Where those
+	// told hold more, a place stands for as many more, and one answer speaks for that much less of a limit:
+	// a few late ones a second would else keep the limits of a large fleet at those of a small one.
 	usualLink               = 8.0
 	limitEvery, limitSpeaks = 100 * time.Millisecond, 4.0
 	// lowStanding: the part of a limit open to classes that earn little for their sending time. Lower
