--- /dev/null
+++ b/internal/respfront/front_test.go
@@ -0,0 +1,112 @@
+package respfront_test
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/invariant"
+	"ravenwheel/internal/respfront"
+	"ravenwheel/internal/scenario"
+)
+
+const (
+	asset = "RPC.CALL 1 asset rid=00000000000000a1,budget=900,obj=7f3a9c21e0b4d655,nth=0,batch=17,mem=40"
+	claim = "RPC.CALL 1 seat-claim rid=00000000000000b1,budget=900,obj=7f3a9c21e0b4d655,nth=0,batch=17,mem=4 seat9"
+)
+
+var scenarios = map[string]string{
+	"served, in any order": `
+		c send ` + asset + `
+		s expect fetch 00000000000000a1 lane=asset,name=7f3a9c21e0b4d655,piece=0,ttl=900,fetch=s-0000000b,retain=1 -
+		c send RPC.CALL 2 replay rid=00000000000000a2,budget=900,obj=7f3a9c21e0b4d655,nth=3,batch=17,got=v7
+		s expect fetch 00000000000000a2 lane=replay,name=7f3a9c21e0b4d655,piece=3,*,holds=v7 -
+		s send 00000000000000a2 still_good why=local,version=v7
+		c expect 2 ok ok304=1 -
+		s send 00000000000000a1 served why=pulled,version=v1,stamp=1,took=3.5 BYTES
+		c expect 1 ok - BYTES`,
+	"health and an unknown verb": `
+		c send RPC.HEALTH 8
+		c expect 8 yes
+		c send RPC.OTHER 9 x
+		c expect 9 fault`,
+	"a field that can't be used gets one answer": `
+		c send RPC.CALL 1 asset rid=zz,budget=900,obj=7f3a9c21e0b4d655
+		c expect 1 fault
+		c send RPC.CALL 2 nosuch rid=00000000000000a1,budget=900,obj=7f3a9c21e0b4d655
+		c expect 2 fault
+		c send RPC.CALL 3 asset rid=00000000000000a1,budget=NaN,obj=7f3a9c21e0b4d655
+		c expect 3 fault
+		c send RPC.CALL 4 asset =,
+		c expect 4 fault`,
+	// redcon's reader panics on this length: the guard ends the connection, and the others go on.
+	"a frame that can't be read ends its connection only": `
+		c send raw *2\r\n$9223372036854775807
+		c expect closed
+		d send RPC.HEALTH 8
+		d expect 8 yes`,
+	"a tag that is open can't be used again": `
+		c send ` + asset + `
+		s expect fetch * * -
+		c send ` + asset + `
+		c expect closed
+		s expect abort $id`,
+	"cancelled: no answer, and the attempt is given up": `
+		c send ` + asset + `
+		s expect fetch * * -
+		c send RPC.CANCEL 1
+		s expect abort $id
+		s send $id served why=local,version=v1 LATE
+		c send RPC.HEALTH 8
+		c expect 8 yes`,
+	"silence: one final answer at the deadline, with advice": `
+		c send ` + asset + `
+		s expect fetch * * -
+		wait 900
+		c expect 1 full backoff=*
+		s expect abort $id`,
+	"a write that died with its connection is not sent again": `
+		c send ` + claim + `
+		s expect fetch 00000000000000b1 lane=seat-claim,*,fetch=s-00000014 seat9
+		s close
+		c expect 1 fault`,
+	"a write that never ran may be refused": `
+		s close
+		c send ` + claim + `
+		c expect 1 full backoff=*`,
+	"a read that crashed is tried again": `
+		c send ` + asset + `
+		s expect fetch * * -
+		s send $id crashed
+		s expect fetch * * -
+		s send $id served why=local,version=v1 BYTES
+		c expect 1 ok - BYTES`,
+	"an upstream frame that can't be read is a reset": `
+		c send ` + claim + `
+		s expect fetch * * seat9
+		s send $id served notafield
+		c expect 1 fault`,
+}
+
+func TestFront(t *testing.T) {
+	for name, script := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			p := scenario.NewProxy(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			f := respfront.New(ln, 10, p.Clock, p.Core)
+			go func() { _ = f.Serve() }()
+			defer f.Close()
+			scenario.Run(t, p.Clock, map[string]scenario.Actor{
+				"c": scenario.Dial(t, ln.Addr().String()), "d": scenario.Dial(t, ln.Addr().String()), "s": p.Cache,
+			}, script)
+			require.Zero(t, invariant.Broken())
+			n := &p.Core.Counters
+			require.LessOrEqual(t, n.Served.Load()+n.Refused.Load()+n.Failed.Load()+n.Gone.Load(), n.Requests.Load())
+		})
+	}
+}
+
+var _ respfront.Doer = (*core.Core)(nil)
--- /dev/null
+++ b/internal/scenario/proxy.go
@@ -0,0 +1,57 @@
+package scenario
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/upstream"
+	"ravenwheel/policy"
+)
+
+// The ids of the stand-ins, as they are named on the sockets: s-00000001 and so on.
+const (
+	CacheID  policy.CacheID = 1
+	ParentID policy.CacheID = 11
+	OriginID policy.CacheID = 20
+)
+
+// Settings are those of a small deployment with two classes that read and one that writes.
+func Settings() policy.Settings {
+	return policy.Settings{
+		Routers: 1, ParentKind: 1, OriginKind: 2, Details: policy.DetailAll, MaxTries: 4, Cancel: true,
+		RetryAfter: true, MaxRetryAfter: 500 * time.Millisecond, ConnectWithin: 400 * time.Millisecond,
+		DrainGrace: 2 * time.Second, PurgeNotice: time.Second, PurgeTakes: 6 * time.Second,
+		Classes: []policy.Class{
+			{Target: 400 * time.Millisecond, Deadline: 5 * time.Second, Worth: 1, InParts: true},
+			{Target: 400 * time.Millisecond, Deadline: 2500 * time.Millisecond, Worth: 1},
+			{Target: 600 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3, Effect: policy.Unsafe, Uncached: true},
+		},
+	}
+}
+
+// Proxy is a core on real sockets to stand-ins, under a clock that the test moves.
+type Proxy struct {
+	Clock *clock.Clock
+	Core  *core.Core
+	Pools *upstream.Pools
+	Cache *Server
+}
+
+// NewProxy starts a core whose one cache, which fills from a parent and the origin, is a stand-in.
+func NewProxy(t *testing.T) *Proxy {
+	p := &Proxy{Clock: clock.Manual(1_764_576_000_000), Cache: Listen(t)}
+	p.Pools = upstream.New(p.Clock, upstream.Limits{PerConn: 100, Conns: 4, Connect: 5000, Idle: 30_000})
+	var err error
+	p.Core, err = core.New(Settings(), []string{"replay", "asset", "seat-claim"}, 0, 7, p.Clock, p.Pools)
+	require.NoError(t, err)
+	list := []core.Member{{Addr: p.Cache.Addr()}, {Addr: "127.0.0.1:1"}, {Addr: "127.0.0.1:1"}}
+	for i, id := range []policy.CacheID{CacheID, ParentID, OriginID} {
+		list[i].ID, list[i].Kind, list[i].Weight = id, i, 10
+	}
+	p.Core.Notice(core.Notice{Rev: 1, Whole: true, Members: list})
+	return p
+}
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,273 @@
+// Package scenario is the small language that the tests are written in. A line names an actor and what it
+// does; words may hold *, which matches anything, and $id, the id in what the actor expected last.
+//
+//	c send RPC.CALL 1 asset rid=...,budget=900,...
+//	s1 expect fetch * lane=asset,*
+//	s1 send $id served why=local,version=v1 BYTES
+//	c expect 1 ok * BYTES
+//	wait 250        moves the clock
+//	c close
+package scenario
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/resp"
+)
+
+// patience bounds how long an expectation is waited for; it is no measure of speed.
+const patience = 10 * time.Second
+
+// Actor is one who takes part.
+type Actor interface {
+	Send(words []string) error
+	// Receive returns the next message as words, or "closed" once no more can come.
+	Receive() ([]string, error)
+	Close() error
+}
+
+// Run plays a script.
+func Run(t *testing.T, clk *clock.Clock, actors map[string]Actor, script string) {
+	t.Helper()
+	ids := map[string]string{}
+	for n, line := range strings.Split(script, "\n") {
+		words := strings.Fields(line)
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		at := fmt.Sprintf("line %d: %s", n+1, strings.TrimSpace(line))
+		if words[0] == "wait" {
+			var ms float64
+			_, err := fmt.Sscan(words[1], &ms)
+			require.NoError(t, err, at)
+			clk.Advance(ms)
+			continue
+		}
+		a := actors[words[0]]
+		require.NotNil(t, a, at)
+		args := words[2:]
+		for i := range args {
+			args[i] = strings.ReplaceAll(args[i], "$id", ids[words[0]])
+		}
+		switch words[1] {
+		case "send":
+			require.NoError(t, a.Send(args), at)
+		case "close":
+			require.NoError(t, a.Close(), at)
+		case "expect":
+			got, err := a.Receive()
+			require.NoError(t, err, at)
+			require.True(t, match(args, got), "%s: got %q", at, got)
+			if len(got) > 1 {
+				ids[words[0]] = got[1]
+			}
+		default:
+			require.Fail(t, "unknown verb", at)
+		}
+	}
+}
+
+func match(want, got []string) bool {
+	if len(want) != len(got) {
+		return false
+	}
+	for i := range want {
+		// A slash is nothing special in a message.
+		ok, err := path.Match(strings.ReplaceAll(want[i], "/", "|"), strings.ReplaceAll(got[i], "/", "|"))
+		if err != nil || !ok {
+			return false
+		}
+	}
+	return true
+}
+
+type message struct {
+	words []string
+	from  net.Conn
+}
+
+// inbox collects messages in order.
+type inbox chan message
+
+func (in inbox) take() (message, error) {
+	select {
+	case m := <-in:
+		return m, nil
+	case <-time.After(patience):
+		return message{}, fmt.Errorf("nothing came")
+	}
+}
+
+// read puts a connection's frames into the inbox; empty parts show as "-".
+func (in inbox) read(nc net.Conn) {
+	var buf resp.Buffer
+	for {
+		parts, _, err := buf.Next(nc)
+		if err != nil {
+			in <- message{words: []string{"closed"}, from: nc}
+			return
+		}
+		m := message{from: nc}
+		for _, p := range parts {
+			if len(p) == 0 {
+				p = []byte("-")
+			}
+			m.words = append(m.words, string(p))
+		}
+		in <- m
+	}
+}
+
+// Client speaks RESP with a front.
+type Client struct {
+	nc net.Conn
+	in inbox
+}
+
+// Dial connects a client.
+func Dial(t *testing.T, addr string) *Client {
+	nc, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	c := &Client{nc, make(inbox, 100)}
+	go c.in.read(nc)
+	return c
+}
+
+// Send writes one frame, or with the first word "raw" the bytes of the second, \r\n behind them.
+func (c *Client) Send(words []string) error {
+	b := resp.Append(nil, words...)
+	if words[0] == "raw" {
+		b = []byte(strings.ReplaceAll(words[1], `\r\n`, "\r\n") + "\r\n")
+	}
+	_, err := c.nc.Write(b)
+	return err
+}
+
+// Receive implements Actor.
+func (c *Client) Receive() ([]string, error) { m, err := c.in.take(); return m.words, err }
+
+// Close implements Actor.
+func (c *Client) Close() error { return c.nc.Close() }
+
+// Server stands in for a cache server, a parent or the origin.
+type Server struct {
+	ln    net.Listener
+	in    inbox
+	mu    sync.Mutex
+	conns []net.Conn
+	last  net.Conn
+}
+
+// Listen starts a stand-in on a port from the kernel.
+func Listen(t *testing.T) *Server {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &Server{ln: ln, in: make(inbox, 100)}
+	t.Cleanup(func() { _ = s.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, nc)
+			s.mu.Unlock()
+			go s.in.read(nc)
+		}
+	}()
+	return s
+}
+
+// Addr is where it listens.
+func (s *Server) Addr() string { return s.ln.Addr().String() }
+
+// Send writes a frame to where the last message came from.
+func (s *Server) Send(words []string) error {
+	_, err := s.last.Write(resp.Append(nil, words...))
+	return err
+}
+
+// Receive implements Actor.
+func (s *Server) Receive() ([]string, error) {
+	m, err := s.in.take()
+	s.last = m.from
+	return m.words, err
+}
+
+// Close ends it as a process dies: its connections are reset.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, nc := range s.conns {
+		_ = nc.(*net.TCPConn).SetLinger(0)
+		_ = nc.Close()
+	}
+	_ = s.ln.Close()
+	return nil
+}
+
+// Browser sends HTTP requests: "send METHOD PATH [NAME:VALUE...] [BODY]"; it expects "STATUS HEADERS BODY",
+// with the headers as NAME:VALUE,... where they matter.
+type Browser struct {
+	base string
+	in   inbox
+	stop chan struct{}
+}
+
+// Browse returns an HTTP client of base.
+func Browse(base string) *Browser { return &Browser{base, make(inbox, 100), make(chan struct{})} }
+
+// Send implements Actor; the answer comes with Receive.
+func (b *Browser) Send(words []string) error {
+	var body string
+	header := http.Header{}
+	for _, w := range words[2:] {
+		if name, value, ok := strings.Cut(w, ":"); ok {
+			header.Set(name, strings.ReplaceAll(value, "+", " "))
+		} else {
+			body = w
+		}
+	}
+	r, err := http.NewRequest(words[0], b.base+words[1], bytes.NewBufferString(body))
+	if err != nil {
+		return err
+	}
+	r.Header = header
+	done := make(chan struct{})
+	r.Cancel = done
+	go func() { <-b.stop; close(done) }()
+	go func() {
+		a, err := http.DefaultClient.Do(r)
+		if err != nil {
+			b.in <- message{words: []string{"closed"}}
+			return
+		}
+		defer a.Body.Close()
+		text, _ := io.ReadAll(a.Body)
+		after := "-"
+		if s := a.Header.Get("Retry-After"); s != "" {
+			after = "Retry-After:" + s
+		}
+		b.in <- message{words: append([]string{fmt.Sprint(a.StatusCode), after}, strings.Fields(string(text))...)}
+	}()
+	return nil
+}
+
+// Receive implements Actor.
+func (b *Browser) Receive() ([]string, error) { m, err := b.in.take(); return m.words, err }
+
+// Close breaks off what is open.
+func (b *Browser) Close() error { close(b.stop); return nil }
--- /dev/null
+++ b/internal/signedfront/front_test.go
@@ -0,0 +1,218 @@
+package signedfront_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/x509"
+	"encoding/base64"
+	"fmt"
+	"maps"
+	"net"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/golang-jwt/jwt/v5"
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/scenario"
+	"ravenwheel/internal/signedfront"
+	"ravenwheel/internal/store"
+)
+
+const (
+	object = "7f3a9c21e0b4d655"
+	leeway = 3000.0
+)
+
+// signer makes tokens by a clock that is skewed against the server's.
+type signer struct {
+	t    *testing.T
+	base string
+	now  float64 // seconds
+	key  *ecdsa.PrivateKey
+}
+
+// sign returns a JWT for a path, 10 s good, with the claims changed as asked (nil takes one out).
+func (s *signer) sign(path string, change jwt.MapClaims, method jwt.SigningMethod, kid string, key any) string {
+	sum := sha256.Sum256([]byte(s.base + path))
+	c := jwt.MapClaims{
+		"aud": "tabletop", "iat": s.now, "nbf": s.now, "exp": s.now + 10, "jti": "j1",
+		"cdniv": 1, "cdniuc": "hash:sha-256;" + base64.RawURLEncoding.EncodeToString(sum[:]),
+	}
+	maps.Copy(c, change)
+	maps.DeleteFunc(c, func(_ string, v any) bool { return v == nil })
+	tok := jwt.NewWithClaims(method, c)
+	tok.Header["kid"] = kid
+	raw, err := tok.SignedString(key)
+	require.NoError(s.t, err)
+	return raw
+}
+
+// fill puts tokens where a script asks for them: {good}, {write} and so on.
+func (s *signer) fill(script string) string {
+	read, write := "/asset/"+object, "/seat-claim/"+object
+	es := func(path string, change jwt.MapClaims) string {
+		return s.sign(path, change, jwt.SigningMethodES256, "k1", s.key)
+	}
+	der, err := x509.MarshalPKIXPublicKey(&s.key.PublicKey)
+	require.NoError(s.t, err)
+	for name, raw := range map[string]string{
+		"good":      es(read, nil),
+		"write":     es(write, nil),
+		"nojti":     es(write, jwt.MapClaims{"jti": nil}),
+		"noexp":     es(read, jwt.MapClaims{"exp": nil}),
+		"aud":       es(read, jwt.MapClaims{"aud": "other"}),
+		"other":     es("/asset/0000000000000001", nil),
+		"regex":     es(read, jwt.MapClaims{"cdniuc": "regex:http://[^/]+/asset/[0-9a-f]+"}),
+		"halfregex": es(read, jwt.MapClaims{"cdniuc": "regex:http://[^/]+/asset/"}),
+		"nouc":      es(read, jwt.MapClaims{"cdniuc": nil}),
+		"crit":      es(read, jwt.MapClaims{"cdnicrit": "exp,cdniets", "cdniets": 5}),
+		"critok":    es(read, jwt.MapClaims{"cdnicrit": "exp,cdniuc"}),
+		"v2":        es(read, jwt.MapClaims{"cdniv": 2}),
+		"ip":        es(read, jwt.MapClaims{"cdniip": "x"}),
+		"old":       es(read, jwt.MapClaims{"exp": s.now - 60}),
+		"oldaud":    es(read, jwt.MapClaims{"exp": s.now - 60, "aud": "other"}),
+		"early":     es(read, jwt.MapClaims{"nbf": s.now + 60}),
+		"second":    s.sign(read, jwt.MapClaims{"jti": "j2"}, jwt.SigningMethodHS256, "k2", []byte("secret of the second key")),
+		"badkid":    s.sign(read, nil, jwt.SigningMethodES256, "k9", s.key),
+		"confused":  s.sign(read, nil, jwt.SigningMethodHS256, "k1", der), // a public key as an HMAC secret
+		"none":      s.sign(read, nil, jwt.SigningMethodNone, "k1", jwt.UnsafeAllowNoneSignatureType),
+	} {
+		script = strings.ReplaceAll(script, "{"+name+"}", raw)
+	}
+	return script
+}
+
+const (
+	link    = "b send GET /asset/" + object + "?URISigningPackage="
+	post    = "b send POST /seat-claim/" + object + " Authorization:Bearer+"
+	arrived = "\ns expect fetch * lane=asset,* -\n"
+	claimed = "\ns expect fetch * lane=seat-claim,* seat9\n"
+	served  = "s send $id served why=local,version=v1 BYTES\nb expect 200 - BYTES\n"
+)
+
+var scenarios = map[string]string{
+	"a signed link":       link + "{good}" + arrived + served,
+	"as a cookie":         "b send GET /asset/" + object + " Cookie:URISigningPackage={good}" + arrived + served,
+	"a regex container":   link + "{regex}" + arrived + served,
+	"critical, all known": link + "{critok}" + arrived + served,
+	"not signed":          "b send GET /asset/" + object + "\nb expect 401 - unauthorised",
+	"bad requests": `
+		b send GET /asset/xyz
+		b expect 400 - bad request
+		b send POST /asset/` + object + `
+		b expect 400 - bad request
+		b send GET /asset/` + object + ` X-Budget-Ms:-1
+		b expect 400 - bad request`,
+	"refused on arrival": deny("noexp", "aud", "other", "halfregex", "nouc", "crit", "v2", "ip", "early", "badkid",
+		"confused", "none", "oldaud") + link + "{old}\nb expect 403 - expired",
+	// A link that expires while its request waits: one 403, and the attempt is given up.
+	"expiry in the queue": link + "{good} X-Budget-Ms:60000" + arrived + "wait {void}\nb expect 403 - expired\ns expect abort $id",
+	"timed out":           link + "{good} X-Budget-Ms:900" + arrived + "wait 900\nb expect 504 - timed out\ns expect abort $id",
+	"revoked while it waits": link + "{good}" + arrived + `
+		revoke send j1
+		s send $id served why=local,version=v1 BYTES
+		b expect 401 - unauthorised`,
+	"upstream fails":  link + "{good}\n" + strings.Repeat("s expect fetch * * -\ns send $id crashed\n", 4) + "b expect 503 Retry-After:* overloaded",
+	"client leaves":   link + "{good}" + arrived + "b close\nb expect closed\ns expect abort $id",
+	"a seat claim":    post + "{write} seat9" + claimed + served,
+	"a write by link": "b send POST /seat-claim/" + object + "?URISigningPackage={write} seat9\nb expect 401 - unauthorised",
+	"a replay": post + "{write} seat9" + claimed + served +
+		post + "{write} seat9\nb expect 409 - replayed",
+	"a write without jti": post + "{nojti} seat9\nb expect 401 - unauthorised",
+	// The claim's token expires, and its key is dropped, after it may have run: what ran stands.
+	"expiry after a write may have run": post + "{write} X-Budget-Ms:60000 seat9" + claimed + `
+		drop send k1
+		wait 2900
+		` + served,
+	"a write that died is not sent again": post + "{write} seat9" + claimed + `
+		drop send k1
+		s close
+		b expect 502 - upstream failed: effect unknown`,
+	"a write in silence": post + "{write} seat9" + claimed + "wait 3000\nb expect 504 - timed out: effect unknown\ns expect abort $id",
+	"a write that never ran": post + "{write} seat9" + claimed + "s send $id overload" + claimed + `
+		s send $id overload
+		b expect 503 Retry-After:* overloaded`,
+	"no quorum": `
+		quorum close
+		` + post + `{write} seat9
+		b expect 503 Retry-After:1 overloaded`,
+	"rotation": link + "{second}" + arrived + served + `
+		drop send k1
+		` + link + `{good}
+		b expect 401 - unauthorised
+		` + link + "{second}" + arrived + served + `
+		drop send k2
+		` + link + `{second}
+		b expect 401 - unauthorised`,
+}
+
+func deny(names ...string) (script string) {
+	for _, n := range names {
+		script += link + "{" + n + "}\nb expect 401 - unauthorised\n"
+	}
+	return script
+}
+
+// operator is an actor that changes the store.
+type operator func(string) error
+
+func (o operator) Send(words []string) error { return o(words[0]) }
+func (operator) Receive() ([]string, error)  { return nil, nil }
+func (o operator) Close() error              { return o("") }
+
+func TestSigned(t *testing.T) {
+	for skewName, skew := range map[string]float64{"even": 0, "ahead": 2000, "behind": -2000} {
+		for name, script := range scenarios {
+			t.Run(skewName+"/"+name, func(t *testing.T) {
+				play(t, skew, script)
+			})
+		}
+	}
+}
+
+func play(t *testing.T, skew float64, script string) {
+	p := scenario.NewProxy(t)
+	st, err := store.Open(store.Options{Clock: p.Clock, Timeout: time.Second})
+	require.NoError(t, err)
+	closed := false
+	shut := func(string) error { closed = true; return st.Close() }
+	defer func() {
+		if !closed {
+			_ = st.Close()
+		}
+	}()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	der, err := x509.MarshalPKIXPublicKey(&key.PublicKey)
+	require.NoError(t, err)
+	require.Eventually(t, st.Leader, time.Minute, time.Millisecond)
+	require.NoError(t, st.PutKey("k1", store.Key{Alg: "ES256", Data: der}))
+	require.NoError(t, st.PutKey("k2", store.Key{Alg: "HS256", Data: []byte("secret of the second key")}))
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := signedfront.New(signedfront.Options{Audience: "tabletop", Leeway: leeway, Clock: p.Clock, Store: st, Core: p.Core})
+	go func() { _ = f.Serve(ln) }()
+	defer func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel() // a scenario that failed leaves requests open
+		_ = f.Shutdown(ctx)
+	}()
+	base := (&url.URL{Scheme: "http", Host: ln.Addr().String()}).String()
+	s := signer{t, base, (p.Clock.Now() + skew) / 1000, key}
+	script = s.fill(strings.ReplaceAll(script, "{void}", fmt.Sprint(10_000+skew+leeway)))
+	scenario.Run(t, p.Clock, map[string]scenario.Actor{
+		"b": scenario.Browse(base), "s": p.Cache, "drop": operator(st.DropKey), "quorum": operator(shut),
+		"revoke": operator(func(jti string) error { return st.Revoke(jti, p.Clock.Now()+1e6) }),
+	}, script)
+	n := &p.Core.Counters
+	require.Eventually(t, func() bool {
+		return n.Served.Load()+n.Refused.Load()+n.Failed.Load()+n.Gone.Load() == n.Requests.Load()
+	}, time.Minute, time.Millisecond, "each request ends exactly once")
+}
