--- a/cmd/ravenwheel/main.go
+++ b/cmd/ravenwheel/main.go
@@ -17,6 +17,7 @@
 		Args: cobra.NoArgs, RunE: serve, // plain run must serve
 	}
 	root.PersistentFlags().StringVar(&profile, "cpuprofile", "", "write a CPU profile of the first 20 s to this file")
+	root.PersistentFlags().StringVar(&operatorFile, "operator", "", "set up the signed front, the store and SNMP from this file")
 	root.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM", Args: cobra.NoArgs, RunE: serve},
 		&cobra.Command{Use: "check", Short: "Read the configuration and say whether it can be used", Args: cobra.NoArgs, RunE: check},
--- /dev/null
+++ b/cmd/ravenwheel/operator.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"log"
+	"net"
+	"time"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/config"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/signedfront"
+	"ravenwheel/internal/snmp"
+	"ravenwheel/internal/store"
+	"ravenwheel/internal/upstream"
+)
+
+// operatorFile names the operator's file; empty: all that it sets up is off, as on the platform.
+var operatorFile string
+
+// startOperator starts what the operator's file sets up. stop ends it once what is open has been answered.
+func startOperator(o *config.Operator, clk *clock.Clock, c *core.Core, up *upstream.Pools) (stop func(context.Context), err error) {
+	var ends []func(context.Context)
+	stop = func(ctx context.Context) {
+		for i := len(ends) - 1; i >= 0; i-- {
+			ends[i](ctx)
+		}
+	}
+	defer func() {
+		if err != nil {
+			stop(context.Background())
+		}
+	}()
+	if s := o.SNMP; s != nil {
+		pc, err := net.ListenPacket("udp", s.Listen)
+		if err != nil {
+			return nil, err
+		}
+		conns := func() int64 { return int64(up.Conns()) }
+		go func() { _ = snmp.New(s.Community, snmp.Scalars(&c.Counters, up.Late.Load, conns)).Serve(pc) }()
+		ends = append(ends, func(context.Context) { pc.Close() })
+	}
+	s := o.Signed
+	if s == nil {
+		return stop, nil
+	}
+	st, err := store.Open(store.Options{
+		Self: o.Store.Self, Peers: o.Store.Peers, Dir: o.Store.Dir, Timeout: o.Timeout(), Clock: clk,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ends = append(ends, func(context.Context) { _ = st.Close() })
+	keys, err := o.Keys()
+	if err != nil {
+		return nil, err
+	}
+	go seed(st, keys)
+	ln, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	front := signedfront.New(signedfront.Options{Audience: s.Audience, Leeway: s.LeewayMs, Clock: clk, Store: st, Core: c})
+	go func() {
+		if err := front.Serve(ln); err != nil {
+			log.Print("signed front: ", err)
+		}
+	}()
+	ends = append(ends, func(ctx context.Context) { _ = front.Shutdown(ctx) })
+	return stop, nil
+}
+
+// seed puts the file's keys into the store, as soon as it has a leader.
+func seed(st *store.Store, keys map[string]store.Key) {
+	for kid, k := range keys {
+		for st.PutKey(kid, k) != nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := config.LoadOperator(operatorFile); err != nil {
+		return err
+	}
 	fmt.Fprintf(cmd.OutOrStdout(), "%s on %s: %d classes, %d events known\n", c.Name, c.Listen, len(c.Classes), len(c.Known))
 	return nil
 }
@@ -54,6 +57,10 @@
 	if err != nil {
 		return err
 	}
+	operator, err := config.LoadOperator(operatorFile)
+	if err != nil {
+		return err
+	}
 	limit(conf)
 	if profile != "" {
 		f, err := os.Create(profile)
@@ -89,6 +96,10 @@
 	if err != nil {
 		return err
 	}
+	stopOperator, err := startOperator(operator, clk, c, up)
+	if err != nil {
+		return err
+	}
 	front := respfront.New(ln, conf.Sockets/2, clk, c)
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve() }()
@@ -97,18 +108,21 @@
 		return err
 	case <-ctx.Done():
 	}
-	return drain(front, conf)
+	drain(front, conf, stopOperator)
+	return nil
 }
 
 // drain lets what is still on its way in come, then answers what is open.
-func drain(front *respfront.Front, conf *config.Config) error {
+func drain(front *respfront.Front, conf *config.Config, stopOperator func(context.Context)) {
 	end := time.Now().Add(longest(conf) + 700*time.Millisecond - stopMargin)
 	time.Sleep(stopGrace)
 	_ = front.Close()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	stopOperator(ctx)
 	for !front.Idle() && time.Now().Before(end) {
 		time.Sleep(10 * time.Millisecond)
 	}
-	return nil
 }
 
 // longest is the longest deadline of a class, 3 s at least.
