--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,74 @@
+package board
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/core"
+	"ravenwheel/policy"
+)
+
+func frame(rev uint64, kind byte, payload ...byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
+	return append(append(binary.BigEndian.AppendUint64(b, rev), kind), payload...)
+}
+
+func group(n uint16, ms uint64) []byte {
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint16(nil, n), ms)
+}
+
+// A board that falls silent, sends what can't be read, or an event twice: the client dials again with the
+// last number it has, and hands on each event once.
+func TestClientDialsAgain(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	got := make(chan core.Notice, 10)
+	c := Client{
+		Addr: ln.Addr().String(), Last: 4, Silence: 2 * time.Second, Redial: time.Millisecond,
+		Notice: func(n core.Notice) { got <- n },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.Run(ctx)
+	accept := func(want uint64) net.Conn {
+		nc, err := ln.Accept()
+		require.NoError(t, err)
+		var last uint64
+		require.NoError(t, binary.Read(nc, binary.BigEndian, &last))
+		require.Equal(t, want, last)
+		return nc
+	}
+	nc := accept(4)
+	_, err = nc.Write(append(frame(5, kindGroup, group(17, 1000)...), frame(5, kindGroup, group(17, 1000)...)...))
+	require.NoError(t, err)
+	require.Equal(t, core.Notice{Rev: 5, Purge: &core.Purge{Group: 17, At: 1001}}, <-got)
+	nc = accept(5) // silence ended the first connection
+	_, err = nc.Write(frame(6, kindObject, 1, 2, 3))
+	require.NoError(t, err)
+	accept(5) // what can't be read ended the second
+	require.Empty(t, got)
+}
+
+func TestKnown(t *testing.T) {
+	names := Names{Zones: []string{"east"}, Kinds: []string{"std"}}
+	notices, last, err := Known([]byte(`{"rev":2,"notices":[{"rev":1,"pool":{"reset":false,"instances":[
+		{"instanceId":"s-00c41f7a","hostPort":"10.1.0.9:4100","zone":"east","machineType":"std","cell":2,
+		"lifecycle":"draining","weight":4,"startedAtMs":5}]}},{"rev":2,"flush":{"asset":"7f3a9c21e0b4d655","ms":7}}]}`), names)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, last)
+	require.True(t, notices[0].Whole, "the first list is whole")
+	m := notices[0].Members[0]
+	require.Equal(t, policy.Member{ID: 0xc41f7a, Cell: 2, State: policy.Draining, Weight: 4, Started: 5e6}, m.Member)
+	require.Equal(t, &core.Purge{Object: "7f3a9c21e0b4d655", Group: -1, At: 8}, notices[1].Purge)
+	for _, bad := range []string{`[`, `{"notices":[{"pool":{"instances":[{"instanceId":"x"}]}}]}`,
+		`{"notices":[{"pool":{"instances":[{"instanceId":"s-1","lifecycle":"up","zone":"west"}]}}]}`} {
+		_, _, err := Known([]byte(bad), names)
+		require.Error(t, err)
+	}
+}
