Reload on SIGHUP: follow the notice board to its new address, numbers going on

Now SIGHUP reads the file again and moves the board's client, which leaves the old connection at once and asks the new address from its last number. A file that can't be read leaves the old configuration. The test of the program fails before the change: the process ends instead of logging the reload.

--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log"
 	"net"
 	"os"
 	"os/signal"
@@ -61,6 +62,9 @@
 	if err != nil {
 		return err
 	}
+	// Taken before anything else is up: unhandled, SIGHUP would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	limit(conf)
 	if profile != "" {
 		f, err := os.Create(profile)
@@ -88,7 +92,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	follow := board.Client{
+	follow := &board.Client{
 		Addr: conf.Board, Last: conf.Rev, Silence: boardSilence, Redial: boardRedial, Notice: c.Notice,
 	}
 	go follow.Run(context.Background()) // also while stopping: the rules go on
@@ -103,6 +107,11 @@
 	front := respfront.New(ln, conf.Sockets/2, clk, c)
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve() }()
+	go func() {
+		for range reload { // also while stopping: the board may move then too
+			again(follow)
+		}
+	}()
 	select {
 	case err := <-failed:
 		return err
@@ -112,6 +121,18 @@
 	return nil
 }
 
+// again reads the configuration anew. The notice board's address is followed; the rest takes a restart. A
+// file that can't be used leaves the old configuration in force.
+func again(follow *board.Client) {
+	conf, err := config.Load(os.Getenv)
+	if err != nil {
+		log.Print("reload: the old configuration stays: ", err)
+		return
+	}
+	follow.Move(conf.Board)
+	log.Print("reload: the notice board is at ", conf.Board)
+}
+
 // drain lets what is still on its way in come, then answers what is open.
 func drain(front *respfront.Front, conf *config.Config, stopOperator func(context.Context)) {
 	end := time.Now().Add(longest(conf) + 700*time.Millisecond - stopMargin)
--- a/cmd/ravenwheel/serve_test.go
+++ b/cmd/ravenwheel/serve_test.go
@@ -5,9 +5,9 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -59,14 +59,13 @@
 	return path
 }
 
-// TestProgram starts the program, speaks to it, tells it of a purge and ends it.
+// TestProgram starts the program, speaks to it, moves its notice board and ends it.
 func TestProgram(t *testing.T) {
 	bin, listen, cache := build(t), freeAddr(t), scenario.Listen(t)
-	board, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer board.Close()
+	board := listenBoard(t)
+	path := configFile(t, listen, board.Addr().String(), cache.Addr())
 	cmd := exec.Command(bin)
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+configFile(t, listen, board.Addr().String(), cache.Addr()))
+	cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
 	logs, err := cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, cmd.Start())
@@ -77,20 +76,8 @@
 	require.NoError(t, binary.Read(nc, binary.BigEndian, &last))
 	require.EqualValues(t, 1, last, "it asks for what comes after the events known")
 	// Event 2: the cache has left, and in the same frame another, 2, has come at its address.
-	addr := net.IP{127, 0, 0, 1}.To4()
-	port := binary.BigEndian.AppendUint16(nil, uint16(portOf(t, cache.Addr())))
-	record := func(id uint32, state byte) []byte {
-		b := binary.BigEndian.AppendUint32(nil, id)
-		b = append(append(append(b, addr...), port...), state, 0, 0, 0, 0)
-		b = binary.BigEndian.AppendUint32(b, 9000)
-		return binary.BigEndian.AppendUint64(b, 0)
-	}
-	payload := append(record(1, 2), record(2, 0)...)
-	f := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
-	f = append(binary.BigEndian.AppendUint64(f, 2), 2)
-	_, err = nc.Write(append(f, payload...))
+	_, err = nc.Write(changes(2, record(1, 2, cache.Addr()), record(2, 0, cache.Addr())))
 	require.NoError(t, err)
-
 	var c *scenario.Client
 	require.Eventually(t, func() bool {
 		probe, err := net.Dial("tcp", listen)
@@ -105,21 +92,64 @@
 		c send RPC.HEALTH 1
 		c expect 1 yes
 		c send RPC.CALL 2 asset rid=00000000000000a1,budget=60000,obj=7f3a9c21e0b4d655,nth=0,batch=17
-		s expect fetch 00000000000000a1 lane=asset,* -`)
-	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM)) // what is open is answered first
-	scenario.Run(t, clock.System(), map[string]scenario.Actor{"c": c, "s": cache}, `
+		s expect fetch 00000000000000a1 lane=asset,* -
 		s send 00000000000000a1 served why=local,version=v1 BYTES
 		c expect 2 ok - BYTES`)
-	text, _ := io.ReadAll(bufio.NewReader(logs))
+
+	// SIGHUP with a file that can't be read changes nothing; with a new address, the board is followed there.
+	good, err := os.ReadFile(path)
+	require.NoError(t, err)
+	lines := bufio.NewScanner(logs)
+	hup := func(text []byte) {
+		require.NoError(t, os.WriteFile(path, text, 0o600))
+		require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
+		require.True(t, lines.Scan())
+		require.Contains(t, lines.Text(), "reload: ")
+	}
+	hup(good[:len(good)/2])
+	other, moved := scenario.Listen(t), listenBoard(t)
+	hup(bytes.ReplaceAll(good, []byte(board.Addr().String()), []byte(moved.Addr().String())))
+	nc, err = moved.Accept()
+	require.NoError(t, err)
+	require.NoError(t, binary.Read(nc, binary.BigEndian, &last))
+	require.EqualValues(t, 2, last, "the numbers go on at the new address")
+	_, err = nc.Write(changes(3, record(2, 2, cache.Addr()), record(3, 0, other.Addr())))
+	require.NoError(t, err)
+	require.NoError(t, nc.Close()) // it dials again once event 3 has been taken in
+	nc, err = moved.Accept()
+	require.NoError(t, err)
+	require.NoError(t, binary.Read(nc, binary.BigEndian, &last))
+	require.EqualValues(t, 3, last)
+	scenario.Run(t, clock.System(), map[string]scenario.Actor{"c": c, "s": other}, `
+		c send RPC.CALL 3 asset rid=00000000000000a2,budget=60000,obj=7f3a9c21e0b4d655,nth=0,batch=17
+		s expect fetch 00000000000000a2 lane=asset,* -`)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM)) // what is open is answered first
+	scenario.Run(t, clock.System(), map[string]scenario.Actor{"c": c, "s": other}, `
+		s send 00000000000000a2 served why=local,version=v1 BYTES
+		c expect 3 ok - BYTES`)
+	text, _ := io.ReadAll(logs)
 	require.NoError(t, cmd.Wait(), string(text))
 }
 
-func portOf(t *testing.T, addr string) (port int) {
-	_, s, err := net.SplitHostPort(addr)
-	require.NoError(t, err)
-	_, err = fmt.Sscan(s, &port)
+func listenBoard(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	return port
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln
+}
+
+// changes is the board's event of changed members.
+func changes(rev uint64, records ...[]byte) []byte {
+	payload := bytes.Join(records, nil)
+	f := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
+	return append(append(binary.BigEndian.AppendUint64(f, rev), 2), payload...)
+}
+
+func record(id uint32, state byte, addr string) []byte {
+	a := netip.MustParseAddrPort(addr)
+	b := append(binary.BigEndian.AppendUint32(nil, id), a.Addr().AsSlice()...)
+	b = append(binary.BigEndian.AppendUint16(b, a.Port()), state, 0, 0, 0, 0)
+	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint32(b, 9000), 0)
 }
 
 // TestBadStart: what can't be used ends the start with one plain line and exit 1.
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -12,6 +12,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"ravenwheel/internal/core"
@@ -169,29 +170,51 @@
 	return m, nil
 }
 
-// Client follows one notice board.
+// Client follows the notice board, wherever it moves.
 type Client struct {
-	Addr    string
+	Addr    string        // at the start; see Move
 	Last    uint64        // number of the last event known
 	Silence time.Duration // frames come every second: after so much silence the connection is broken
 	Redial  time.Duration // pause between connections
 	Notice  func(core.Notice)
+
+	mu    sync.Mutex
+	leave context.CancelFunc // ends the connection of now
+}
+
+// Move names another address. The numbers go on there: the last one known is asked from.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr == c.Addr {
+		return
+	}
+	c.Addr = addr
+	if c.leave != nil {
+		c.leave() // what the old one still holds open would tell nothing more
+	}
 }
 
 // Run follows the board until ctx ends. Whatever breaks, it dials again with the last number it has.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		c.follow(ctx)
+		c.mu.Lock()
+		at, leave := context.WithCancel(ctx)
+		addr := c.Addr
+		c.leave = leave
+		c.mu.Unlock()
+		c.follow(at, addr)
 		select {
-		case <-ctx.Done():
+		case <-at.Done(): // ended, or moved
 		case <-time.After(c.Redial):
 		}
+		leave()
 	}
 }
 
-func (c *Client) follow(ctx context.Context) {
+func (c *Client) follow(ctx context.Context, addr string) {
 	d := net.Dialer{Timeout: c.Silence}
-	nc, err := d.DialContext(ctx, "tcp", c.Addr)
+	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return
 	}
