Blame no cache for a request that crashes everywhere; make room for clients among silent ones

Checked with a trace of failed attempts: all 294 were answers 'crashed' to requests for objects that no cache knows, well formed otherwise. One such request was sent eight times within milliseconds, and each counted in judge (policy.go, case Failed): failShare passed its half with one bad request.

Now: an error counts against a cache once another has served the request; a request that met two is given up; failures within 50 ms are one. In the front: a connection that has sent nothing, or half a frame, ends after 1.5 s; when all places are taken the longest silent, then the longest idle one makes room, never one that is owed an answer. A client's frame is bound to 56 KB at its header, so that hundreds can't fill the memory.

--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -11,11 +11,13 @@
 	"github.com/tidwall/redcon"
 )
 
-// The bounds of a frame. An object holds 240,000 bytes at most; the rest of a frame is small.
+// The bounds of a frame: in bytes by who sends it, as a client's write brings 48,000 at most and an object
+// holds 240,000; its parts; and the line that tells a length.
 const (
-	maxBulk  = 256 << 10
-	maxParts = 8
-	maxLine  = 16
+	MostAsked    = 56 << 10
+	MostAnswered = 256 << 10
+	maxParts     = 8
+	maxLine      = 16
 )
 
 // ErrMalformed says that the bytes can't be read as a frame, now or later.
@@ -45,8 +47,9 @@
 	return value, end + 1, nil
 }
 
-// Split cuts the first frame off b. Its parts point into b; n is 0 while the frame is not whole.
-func Split(b []byte) (parts [][]byte, n int, err error) {
+// Split cuts the first frame, of most bytes at the most, off b. Its parts point into b; n is 0 while the
+// frame is not whole. One that claims more fails as soon as its length is read, before its bytes have come.
+func Split(b []byte, most int) (parts [][]byte, n int, err error) {
 	count, n, err := number(b, '*')
 	if err != nil || n == 0 {
 		return nil, 0, err
@@ -60,10 +63,9 @@
 		if err != nil || head == 0 {
 			return nil, 0, err
 		}
-		if size > maxBulk {
+		if n += head; n+size+2 > most {
 			return nil, 0, ErrMalformed
 		}
-		n += head
 		if len(b) < n+size+2 {
 			return nil, 0, nil
 		}
@@ -78,14 +80,19 @@
 
 // Buffer is the one read buffer of a connection, grown and compacted in place.
 type Buffer struct {
+	Most       int // bytes of a frame
+	Keep       int // grown beyond this it is given back once it is empty; 0: never
 	buf        []byte
 	start, end int
 }
 
+// Held is how many bytes have come that are no whole frame yet.
+func (b *Buffer) Held() int { return b.end - b.start }
+
 // Next returns the next frame, reading from src as needed. Its parts, and raw, hold until the next call.
 func (b *Buffer) Next(src io.Reader) (parts [][]byte, raw []byte, err error) {
 	for {
-		parts, n, err := Split(b.buf[b.start:b.end])
+		parts, n, err := Split(b.buf[b.start:b.end], b.Most)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -98,6 +105,9 @@
 			b.end = copy(b.buf, b.buf[b.start:b.end])
 			b.start = 0
 		}
+		if b.Keep > 0 && b.end == 0 && len(b.buf) > b.Keep {
+			b.buf = nil
+		}
 		if b.end == len(b.buf) {
 			b.buf = append(b.buf, make([]byte, max(4096, len(b.buf)))...)
 		}
--- a/internal/respfront/front.go
+++ b/internal/respfront/front.go
@@ -30,6 +30,10 @@
 	mostOut = mostOpen * (240_000 + 1024)
 	// keepOut: an out buffer that has grown beyond this is given back once it is empty.
 	keepOut = 256 << 10
+	// keepIn: a read buffer that has grown beyond this is given back once it is empty.
+	keepIn = 8 << 10
+	// silentFor: a connection that has sent nothing, or no more than half a frame, for so many ms is closed.
+	silentFor, sweepEvery = 1500, 250
 	// writeWait: a client that takes nothing for so long has given up all that it waited for.
 	writeWait = 10 * time.Second
 )
@@ -38,26 +42,73 @@
 type Front struct {
 	clock *clock.Clock
 	core  Doer
-	conns atomic.Int64
-	most  int64
+	most  int
 	busy  atomic.Int64 // requests open and bytes not yet written
 	srv   *redcon.Server
 	ln    net.Listener
+
+	mu    sync.Mutex
+	conns map[*guard]struct{}
 }
 
 // New returns a front on ln that holds at most so many connections.
 func New(ln net.Listener, most int, c *clock.Clock, d Doer) *Front {
-	f := &Front{clock: c, core: d, most: int64(most), ln: ln}
+	f := &Front{clock: c, core: d, most: most, ln: ln, conns: map[*guard]struct{}{}}
 	f.srv = redcon.NewServer(ln.Addr().String(), f.first, nil, nil)
 	return f
 }
 
 // Serve accepts connections until Close.
-func (f *Front) Serve() error { return f.srv.Serve(guarded{f.ln, f}) }
+func (f *Front) Serve() error {
+	f.clock.After(sweepEvery, f.sweep)
+	return f.srv.Serve(guarded{f.ln, f})
+}
 
 // Close stops accepting; connections that are open go on.
 func (f *Front) Close() error { return f.ln.Close() }
 
+// sweep ends the connections that have said nothing, or half of a frame, for too long.
+func (f *Front) sweep() {
+	f.clock.After(sweepEvery, f.sweep)
+	f.mu.Lock()
+	var dumb []*guard
+	for g := range f.conns {
+		if (!g.asked || g.half) && f.clock.Now()-g.since >= silentFor && !g.owed() {
+			dumb = append(dumb, g)
+		}
+	}
+	f.mu.Unlock()
+	for _, g := range dumb {
+		g.Close()
+	}
+}
+
+// admit books a new connection. Guards against hundreds that say nothing, or asked once and stay: when all
+// places are taken, one that never asked makes room, else the one that has been idle for longest; never one
+// that is owed an answer.
+func (f *Front) admit(nc net.Conn) (*guard, bool) {
+	g := &guard{Conn: nc, front: f, since: f.clock.Now()}
+	g.buf.Most, g.buf.Keep = resp.MostAsked, keepIn
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.conns) >= f.most {
+		var shed *guard
+		for o := range f.conns {
+			first := shed == nil || shed.asked && !o.asked || shed.asked == o.asked && o.since < shed.since
+			if first && !o.owed() {
+				shed = o
+			}
+		}
+		if shed == nil {
+			return nil, false
+		}
+		delete(f.conns, shed)
+		go shed.Close()
+	}
+	f.conns[g] = struct{}{}
+	return g, true
+}
+
 // Idle tells whether nothing is owed to any client.
 func (f *Front) Idle() bool { return f.busy.Load() == 0 }
 
@@ -78,10 +129,9 @@
 		if err != nil {
 			return nil, err
 		}
-		if g.front.conns.Add(1) <= g.front.most {
-			return &guard{Conn: nc, front: g.front}, nil
+		if held, ok := g.front.admit(nc); ok {
+			return held, nil
 		}
-		g.front.conns.Add(-1)
 		nc.Close()
 	}
 }
@@ -91,27 +141,65 @@
 type guard struct {
 	net.Conn
 	front *Front
-	once  sync.Once
 	buf   resp.Buffer
 	rest  []byte
+
+	// Under the front's lock.
+	client *client
+	asked  bool    // a whole frame has come
+	half   bool    // the next one has begun
+	since  float64 // when it was accepted, when its last frame was whole, or when the next one began
 }
 
 func (g *guard) Close() error {
-	g.once.Do(func() { g.front.conns.Add(-1) })
+	g.front.mu.Lock()
+	delete(g.front.conns, g)
+	g.front.mu.Unlock()
 	return g.Conn.Close()
 }
 
 func (g *guard) Read(p []byte) (n int, err error) {
 	if len(g.rest) == 0 {
-		if _, g.rest, err = g.buf.Next(g.Conn); err != nil {
+		if _, g.rest, err = g.buf.Next(halves{g}); err != nil {
 			return 0, err
 		}
+		g.mark(false)
 	}
 	n = copy(p, g.rest)
 	g.rest = g.rest[n:]
 	return n, nil
 }
 
+// halves reads for the guard's buffer, and notes that half a frame has come whenever more is waited for.
+type halves struct{ g *guard }
+
+func (h halves) Read(p []byte) (int, error) {
+	if h.g.buf.Held() > 0 {
+		h.g.mark(true)
+	}
+	return h.g.Conn.Read(p)
+}
+
+// mark notes that half a frame has come, or a whole one.
+func (g *guard) mark(half bool) {
+	g.front.mu.Lock()
+	defer g.front.mu.Unlock()
+	if !half || g.asked && !g.half { // the first frame has its time from the accept on, however it trickles
+		g.since = g.front.clock.Now()
+	}
+	g.half, g.asked = half, g.asked || !half
+}
+
+// owed tells whether the client waits for anything.
+func (g *guard) owed() bool {
+	if g.client == nil {
+		return false
+	}
+	g.client.mu.Lock()
+	defer g.client.mu.Unlock()
+	return len(g.client.open) > 0 || len(g.client.out) > 0
+}
+
 // client is one connection. Its writer sends what answers have put into the one out buffer.
 type client struct {
 	front *Front
@@ -127,6 +215,9 @@
 // live reads a connection's commands until it ends, which gives up all that is open on it.
 func (f *Front) live(dc redcon.DetachedConn, cmd redcon.Command) {
 	c := &client{front: f, nc: dc.NetConn(), open: map[string]context.CancelFunc{}, wake: make(chan struct{}, 1)}
+	f.mu.Lock()
+	dc.NetConn().(*guard).client = c
+	f.mu.Unlock()
 	ctx, leave := context.WithCancel(context.Background())
 	go c.write()
 	err := error(nil)
@@ -213,7 +304,7 @@
 	}
 	before := len(c.out)
 	if before > mostOut {
-		c.nc.Close() // reads nothing: the reader sees the end
+		go c.nc.Close() // reads nothing: the reader sees the end
 		return
 	}
 	c.out = add(c.out)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -191,7 +191,7 @@
 }
 
 func (k *conn) read(nc net.Conn) {
-	var buf resp.Buffer
+	buf := resp.Buffer{Most: resp.MostAnswered}
 	for {
 		parts, _, err := buf.Next(nc)
 		if err == nil {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,6 +27,12 @@
 	// failShareDown: share of late attempts that failed at which a cache or parent counts as down, with
 	// failGain the weight of the newest one.
 	failShareDown, failGain = 0.5, 1.0 / 8
+	// oneBreak: failures of one cache this close together are one, as a connection that breaks off ends all
+	// that is open on it. Longer takes a cache that breaks off again and again for a better one.
+	oneBreak = 50 * time.Millisecond
+	// mostCrashed: a request that so many attempts ran into an error with is given up: it is the request that
+	// can't be used. Lower fails more that another cache would have served.
+	mostCrashed = 2
 	// trialEvery: between trials of one that is down. Shorter returns it sooner; a trial may cost a wait.
 	trialEvery = 5 * time.Second
 	// rampFrom and rampPart: a cache or parent that is new or back gets this share of its objects at first,
@@ -472,7 +478,12 @@
 	}
 }
 
+// failed books a failure on one that broke off, or that met an error with what another could serve.
 func (r *Router) failed(t *target) {
+	if t.failedAt > 0 && r.now-t.failedAt < oneBreak {
+		return
+	}
+	t.failedAt = r.now
 	t.failShare.learn(true, failGain)
 	if t.failShare > failShareDown {
 		r.markDown(t, "failing")
@@ -534,9 +545,14 @@
 	case o.Result == ConnectFailed:
 		t.lost = true
 		r.markDown(t, "connection failed")
-	case o.Result == Failed || o.Result == Reset || o.Result == Unknown:
-		t.lost = t.lost || o.Result == Reset
+	case o.Result == Reset:
+		t.lost = true
 		r.failed(t)
+	case o.Result == Failed || o.Result == Unknown:
+		// Whose error it is shows once another has served the request. Until then it may be the client's,
+		// who asks for what can't be used: eight tries with one such request would mark any cache down.
+		a.crashed = true
+		a.q.crashes++
 	case o.Result == TimedOut && !a.late:
 		r.overdue(a)
 	}
@@ -660,6 +676,13 @@
 	}
 	r.judge(a, o)
 	r.learn(a, o)
+	if o.Result == OK {
+		for _, b := range q.attempts {
+			if b.crashed && b.to != a.to {
+				r.failed(b.to)
+			}
+		}
+	}
 	if o.Closed || o.Result == OK {
 		q.over = true
 	}
@@ -667,6 +690,10 @@
 		r.end(q)
 		return
 	}
+	if q.crashes >= mostCrashed {
+		r.giveUp(q)
+		return
+	}
 	later := o.Note == NoteNoPlace || o.Note == NoteSourceLacks && a.source != nil && a.source.role == parent
 	if later || o.Result == Full && (o.Note == NoteNone || o.Note == NoteSourceRefused) {
 		if q.turned++; q.turned >= mostTurned {
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,6 +29,7 @@
 	down       bool
 	lost       bool  // could not be reached, or broke off, since it was last up
 	unanswered int   // attempts past their aim since the last answer
+	failedAt   Time  // when it failed last
 	failShare  share // of late attempts, newest first
 	lastAnswer Time
 	trialAt    Time
@@ -62,6 +63,7 @@
 	trial   *target // whose trial this is
 	late    bool    // its aim has passed
 	through bool    // takes no place where it was sent
+	crashed bool    // it met an error, its own or the request's
 	deep    *target // the origin, where its parent may ask it
 }
 
@@ -77,6 +79,7 @@
 	stream   bool
 	waiting  bool
 	luck     float64   // drawn once, to keep limits by chance
+	crashes  int       // attempts that met an error
 	turned   int       // times it was turned away as full
 	tried    []*target // caches that failed this request
 	bad      []*target // sources that failed this request
