Spread attempts over connections; never live a request that crosses its connection's close

A trace of broken connections showed 3 to 15 attempts open on each of the some 20 a node that a spoilt answer ended; place (upstream.go) took the first connection with room.

Lost: with all places taken, admit chose a connection that had not asked yet, and closed it in a goroutine that runs after the one that reads it: the request was read and sent on between decision and close.

Now the decision and a request's opening exclude each other, a connection younger than 100 ms is the last to make room, attempts go to the least loaded connection in parts of four, and what may not be repeated goes over connections that no read can end. Budgets over the class's deadline, groups over 255, tags of copies in another form and bodies of reads are faults at the front: none was seen from a usual client.

--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -28,8 +28,8 @@
 	stopGrace = 800 * time.Millisecond
 	// stopMargin before SIGKILL, which comes no sooner than the longest deadline and 0.7 s after SIGTERM.
 	stopMargin = 100 * time.Millisecond
-	// connsPerServer caps the connections to one cache server.
-	connsPerServer = 6
+	// leastConns, mostConns: connections to one cache server, one in connShare of the descriptors.
+	leastConns, mostConns, connShare = 4, 8, 32
 	// gcPercent: collections on one core delay what waits for it, and memory is there to make them rarer.
 	gcPercent = 400
 	// profileFor: a profile covers the start and some traffic, and is whole though SIGKILL follows.
@@ -81,7 +81,7 @@
 	}
 	clk := clock.System()
 	up := upstream.New(clk, upstream.Limits{
-		PerConn: conf.StreamsPerConn, Conns: connsPerServer, Connect: conf.Connect, Idle: conf.ConnIdle,
+		PerConn: conf.StreamsPerConn, Conns: min(mostConns, max(leastConns, conf.Sockets/connShare)), Connect: conf.Connect, Idle: conf.ConnIdle,
 	})
 	c, err := core.New(conf.Settings, conf.Classes, conf.MostHeld, conf.Seed, clk, up)
 	if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,6 +64,7 @@
 	Keep   int
 	How    policy.How
 	SendBy float64 // Unix ms: past it the decision is too old, and the attempt must not be written
+	Once   bool    // it may not be repeated: what breaks off under it is lost
 }
 
 // End is how an attempt ended.
@@ -323,7 +324,7 @@
 	a.abort = c.up.Send(Attempt{
 		ID: l.q.ID, Class: c.classes[l.q.Class], Object: l.q.Object, Part: l.q.Part, Holds: l.q.Holds,
 		Body: l.q.Body, To: g.Cache, Source: g.Source, TTL: ttl, Age: clock.Ms(g.Age), Keep: g.Keep, How: g.How,
-		SendBy: sendBy,
+		SendBy: sendBy, Once: c.set.Classes[l.q.Class].Effect == policy.Unsafe,
 	}, func(e End) { l.in <- ended{no, e} })
 }
 
--- a/internal/respfront/call.go
+++ b/internal/respfront/call.go
@@ -3,18 +3,26 @@
 import (
 	"bytes"
 	"math"
+	"regexp"
 	"strconv"
 
+	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/resp"
 )
 
 // Bounds of a request's fields.
 const (
-	longestBudget = 600_000 // ms
-	largestWrite  = 48_000
+	largestWrite = 48_000
+	mostParts    = math.MaxUint16
+	mostGroup    = 255
+	mostSizeKB   = math.MaxInt32
 )
 
+// copyTag is the form of the tags that caches give to copies: anything else could break the frame to a cache
+// that it is passed on in, and with it the connection that others share.
+var copyTag = regexp.MustCompile(`^[0-9A-Za-z_-]{0,64}$`)
+
 func isTag(b []byte) bool {
 	n, err := strconv.ParseUint(string(b), 10, 63)
 	return err == nil && n > 0
@@ -28,8 +36,9 @@
 	return err == nil
 }
 
-// readCall reads class, fields and body of a call that came at now. ok is false if any can't be used.
-func readCall(args [][]byte, now float64, classOf func(string) int) (q core.Request, ok bool) {
+// readCall reads class, fields and body of a call that came at now. ok is false if any can't be used: no
+// such request may reach the module or a cache.
+func readCall(args [][]byte, now float64, d Doer) (q core.Request, ok bool) {
 	if len(args) < 2 {
 		return q, false
 	}
@@ -46,16 +55,25 @@
 		ok = ok && err == nil && v >= least && v <= most && !math.IsNaN(v)
 		return v
 	}
+	class := d.ClassOf(string(args[0]))
+	if class < 0 {
+		return q, false
+	}
+	facts := d.Settings().Classes[class]
 	q = core.Request{
-		ID: f["rid"], Class: classOf(string(args[0])), Object: f["obj"], Repeat: f["again"] == "1", Holds: f["got"],
-		Part: int(number("nth", 0, math.MaxInt32, 0)), Group: int(number("batch", 0, math.MaxUint16, -1)),
-		SizeKB: number("mem", 0, math.MaxInt32, 0), Deadline: now + number("budget", 0, longestBudget, -1),
+		ID: f["rid"], Class: class, Object: f["obj"], Repeat: f["again"] == "1", Holds: f["got"],
+		Part: int(number("nth", 0, mostParts, 0)), Group: int(number("batch", 0, mostGroup, -1)),
+		SizeKB: number("mem", 0, mostSizeKB, 0), Deadline: now + number("budget", 1, clock.Ms(facts.Deadline), 0),
 	}
 	if len(args) > 2 {
 		q.Body = bytes.Clone(args[2])
 	}
-	usable := q.Class >= 0 && isHex16(q.ID) && isHex16(q.Object) && q.Deadline >= now && len(q.Body) <= largestWrite
-	return q, ok && usable
+	most := 0
+	if facts.Uncached {
+		most = largestWrite
+	}
+	usable := isHex16(q.ID) && isHex16(q.Object) && copyTag.MatchString(q.Holds) && len(q.Body) <= most
+	return q, ok && usable && q.Deadline > now
 }
 
 // appendAnswer adds a final answer, as clients read it, to b.
--- a/internal/respfront/front.go
+++ b/internal/respfront/front.go
@@ -3,9 +3,12 @@
 package respfront
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,12 +19,14 @@
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/invariant"
 	"ravenwheel/internal/resp"
+	"ravenwheel/policy"
 )
 
 // Doer lives a request from its arrival to its one final answer.
 type Doer interface {
 	Do(context.Context, core.Request) core.Answer
 	ClassOf(name string) int
+	Settings() policy.Settings
 }
 
 const (
@@ -34,6 +39,8 @@
 	keepIn = 8 << 10
 	// silentFor: a connection that has sent nothing, or no more than half a frame, for so many ms is closed.
 	silentFor, sweepEvery = 1500, 250
+	// newFor: one that is silent for so many ms is no client on the point of asking.
+	newFor = 100
 	// writeWait: a client that takes nothing for so long has given up all that it waited for.
 	writeWait = 10 * time.Second
 )
@@ -71,44 +78,53 @@
 func (f *Front) sweep() {
 	f.clock.After(sweepEvery, f.sweep)
 	f.mu.Lock()
-	var dumb []*guard
+	defer f.mu.Unlock()
 	for g := range f.conns {
-		if (!g.asked || g.half) && f.clock.Now()-g.since >= silentFor && !g.owed() {
-			dumb = append(dumb, g)
+		if (!g.asked || g.half) && f.clock.Now()-g.since >= silentFor && g.leave() {
+			go g.Close()
 		}
 	}
-	f.mu.Unlock()
-	for _, g := range dumb {
-		g.Close()
-	}
 }
 
 // admit books a new connection. Guards against hundreds that say nothing, or asked once and stay: when all
-// places are taken, one that never asked makes room, else the one that has been idle for longest; never one
-// that is owed an answer.
+// places are taken, one makes room, but never one that is owed an answer.
 func (f *Front) admit(nc net.Conn) (*guard, bool) {
 	g := &guard{Conn: nc, front: f, since: f.clock.Now()}
 	g.buf.Most, g.buf.Keep = resp.MostAsked, keepIn
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.conns) >= f.most {
-		var shed *guard
-		for o := range f.conns {
-			first := shed == nil || shed.asked && !o.asked || shed.asked == o.asked && o.since < shed.since
-			if first && !o.owed() {
-				shed = o
-			}
-		}
-		if shed == nil {
-			return nil, false
-		}
-		delete(f.conns, shed)
-		go shed.Close()
+	if len(f.conns) >= f.most && !f.shed() {
+		return nil, false
 	}
 	f.conns[g] = struct{}{}
 	return g, true
 }
 
+// shed ends the connection that has been silent for longest, else the one idle for longest; last come those
+// that are too new to have asked.
+func (f *Front) shed() bool {
+	rank := func(g *guard) int {
+		switch {
+		case g.asked:
+			return 1
+		case f.clock.Now()-g.since >= newFor:
+			return 0
+		}
+		return 2
+	}
+	order := slices.SortedFunc(maps.Keys(f.conns), func(a, b *guard) int {
+		return cmp.Or(rank(a)-rank(b), cmp.Compare(a.since, b.since))
+	})
+	for _, g := range order {
+		if g.leave() {
+			delete(f.conns, g)
+			go g.Close()
+			return true
+		}
+	}
+	return false
+}
+
 // Idle tells whether nothing is owed to any client.
 func (f *Front) Idle() bool { return f.busy.Load() == 0 }
 
@@ -148,6 +164,7 @@
 	client *client
 	asked  bool    // a whole frame has come
 	half   bool    // the next one has begun
+	left   bool    // it is to end: nothing more is read
 	since  float64 // when it was accepted, when its last frame was whole, or when the next one began
 }
 
@@ -163,7 +180,9 @@
 		if _, g.rest, err = g.buf.Next(halves{g}); err != nil {
 			return 0, err
 		}
-		g.mark(false)
+		if !g.mark(false) {
+			return 0, net.ErrClosed
+		}
 	}
 	n = copy(p, g.rest)
 	g.rest = g.rest[n:]
@@ -180,24 +199,32 @@
 	return h.g.Conn.Read(p)
 }
 
-// mark notes that half a frame has come, or a whole one.
-func (g *guard) mark(half bool) {
+// mark notes that half a frame has come, or a whole one, which may no longer be lived once the connection
+// is to end.
+func (g *guard) mark(half bool) bool {
 	g.front.mu.Lock()
 	defer g.front.mu.Unlock()
 	if !half || g.asked && !g.half { // the first frame has its time from the accept on, however it trickles
 		g.since = g.front.clock.Now()
 	}
 	g.half, g.asked = half, g.asked || !half
+	return !g.left
 }
 
-// owed tells whether the client waits for anything.
-func (g *guard) owed() bool {
+// leave decides that a connection ends, unless its client is owed an answer. Guards against a request that
+// comes between the decision and the close: an attempt would be sent for it, and its answer lost.
+func (g *guard) leave() bool {
 	if g.client == nil {
-		return false
+		g.left = !g.asked // else its first frame is on the way to a client yet to be made
+		return g.left
 	}
 	g.client.mu.Lock()
 	defer g.client.mu.Unlock()
-	return len(g.client.open) > 0 || len(g.client.out) > 0
+	if len(g.client.open) > 0 || len(g.client.out) > 0 {
+		return false
+	}
+	g.left, g.client.closed = true, true
+	return true
 }
 
 // client is one connection. Its writer sends what answers have put into the one out buffer.
@@ -257,9 +284,14 @@
 // call opens a request and lets it live in a goroutine of its own.
 func (c *client) call(ctx context.Context, tag string, args [][]byte) error {
 	now := c.front.clock.Now()
-	q, ok := readCall(args, now, c.front.core.ClassOf)
+	q, ok := readCall(args, now, c.front.core)
 	ctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		cancel()
+		return net.ErrClosed
+	}
 	used, full := c.open[tag] != nil, len(c.open) >= mostOpen
 	if !used && !full && ok {
 		c.open[tag] = cancel
--- a/internal/respfront/front_test.go
+++ b/internal/respfront/front_test.go
@@ -41,7 +41,17 @@
 		c send RPC.CALL 3 asset rid=00000000000000a1,budget=NaN,obj=7f3a9c21e0b4d655
 		c expect 3 fault
 		c send RPC.CALL 4 asset =,
-		c expect 4 fault`,
+		c expect 4 fault
+		c send RPC.CALL 5 asset rid=00000000000000a1,budget=2501,obj=7f3a9c21e0b4d655
+		c expect 5 fault
+		c send RPC.CALL 6 asset rid=00000000000000a1,budget=0,obj=7f3a9c21e0b4d655
+		c expect 6 fault
+		c send RPC.CALL 7 asset rid=00000000000000a1,budget=900,obj=7f3a9c21e0b4d655,batch=256
+		c expect 7 fault
+		c send RPC.CALL 8 asset rid=00000000000000a1,budget=900,obj=7f3a9c21e0b4d655,got=v\r\n
+		c expect 8 fault
+		c send RPC.CALL 9 asset rid=00000000000000a1,budget=900,obj=7f3a9c21e0b4d655 body
+		c expect 9 fault`,
 	// redcon's reader panics on this length: the guard ends the connection, and the others go on.
 	"a frame that can't be read ends its connection only": `
 		c send raw *2\r\n$9223372036854775807
@@ -53,7 +63,7 @@
 		d send half $
 		e send RPC.HEALTH 8
 		e expect 8 yes
-		f send ` + strings.Replace(asset, "900", "9000", 1) + `
+		f send ` + strings.Replace(asset, "900", "2500", 1) + `
 		s expect fetch * * -
 		f send half *
 		wait 1000
@@ -127,17 +137,17 @@
 	actors := map[string]scenario.Actor{"s": p.Cache}
 	dial := func(name string) { actors[name] = scenario.Dial(t, ln.Addr().String()) }
 	play := func(script string) { scenario.Run(t, p.Clock, actors, script) }
-	dial("waits")
-	play(`
-		waits send ` + asset + `
-		s expect fetch * * -
-		wait 1`)
 	dial("idle")
 	play(`
 		idle send RPC.HEALTH 1
 		idle expect 1 yes
 		wait 1`)
 	dial("silent")
+	dial("waits")
+	play(`
+		waits send ` + asset + `
+		s expect fetch * * -
+		wait 100`)
 	dial("new")
 	play(`
 		silent expect closed
--- /dev/null
+++ b/internal/respfront/leave_test.go
@@ -0,0 +1,32 @@
+package respfront
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+)
+
+// late is a connection on which a frame comes between the decision to close it and the close.
+type late struct {
+	net.Conn
+	frame *strings.Reader
+}
+
+func (l late) Read(p []byte) (int, error) { return l.frame.Read(p) }
+func (late) Close() error                 { return nil }
+
+// A request that crosses the close of its connection is not lived: its answer would be lost.
+func TestLeave(t *testing.T) {
+	clk := clock.Manual(0)
+	f := &Front{clock: clk, most: 1, conns: map[*guard]struct{}{}}
+	g, ok := f.admit(late{frame: strings.NewReader("*2\r\n$10\r\nRPC.HEALTH\r\n$1\r\n1\r\n")})
+	require.True(t, ok)
+	_, ok = f.admit(late{})
+	require.True(t, ok, "the first makes room")
+	_, err := g.Read(make([]byte, 99))
+	require.ErrorIs(t, err, net.ErrClosed)
+}
--- a/internal/scenario/proxy.go
+++ b/internal/scenario/proxy.go
@@ -55,3 +55,33 @@
 	p.Core.Notice(core.Notice{Rev: 1, Whole: true, Members: list})
 	return p
 }
+
+// Attempts sends attempts to the cache without a core: "send ID [once]"; it expects "ID RESULT".
+type Attempts struct {
+	to *upstream.Pools
+	in inbox
+}
+
+// Attempt returns an actor over pools.
+func Attempt(to *upstream.Pools) *Attempts { return &Attempts{to, make(inbox, 100)} }
+
+// Send implements Actor.
+func (a *Attempts) Send(words []string) error {
+	a.to.Send(core.Attempt{
+		ID: words[0], Class: "asset", Object: "o", To: CacheID, Source: CacheID, TTL: 1000, Once: len(words) > 1,
+	}, func(e core.End) {
+		a.in <- message{words: []string{words[0], results[e.Result]}}
+	})
+	return nil
+}
+
+var results = map[policy.Result]string{
+	policy.OK: "ok", policy.Failed: "failed", policy.Full: "full", policy.TimedOut: "timeout",
+	policy.ConnectFailed: "unconnected", policy.Reset: "reset", policy.Moot: "moot", policy.Miss: "miss",
+}
+
+// Receive implements Actor.
+func (a *Attempts) Receive() ([]string, error) { m, err := a.in.take(); return m.words, err }
+
+// Close implements Actor; there is nothing to end.
+func (a *Attempts) Close() error { return nil }
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -145,18 +145,23 @@
 	return c
 }
 
-// Send writes one frame, or with the first word "raw" the bytes of the second, \r\n behind them; with
-// "half" nothing is behind them.
+// Send writes one frame, or what encode makes of the words.
 func (c *Client) Send(words []string) error {
-	b := resp.Append(nil, words...)
-	if words[0] == "raw" || words[0] == "half" {
-		b = []byte(strings.ReplaceAll(words[1], `\r\n`, "\r\n"))
+	_, err := c.nc.Write(encode(words))
+	return err
+}
+
+// encode makes one frame of the words; with the first word "raw" the bytes of the second, \r\n behind them;
+// with "half" nothing is behind them.
+func encode(words []string) []byte {
+	if words[0] != "raw" && words[0] != "half" {
+		return resp.Append(nil, words...)
 	}
+	b := []byte(strings.ReplaceAll(words[1], `\r\n`, "\r\n"))
 	if words[0] == "raw" {
 		b = append(b, "\r\n"...)
 	}
-	_, err := c.nc.Write(b)
-	return err
+	return b
 }
 
 // Receive implements Actor.
@@ -172,13 +177,14 @@
 	mu    sync.Mutex
 	conns []net.Conn
 	last  net.Conn
+	by    map[string]net.Conn // where each id came
 }
 
 // Listen starts a stand-in on a port from the kernel.
 func Listen(t *testing.T) *Server {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := &Server{ln: ln, in: make(inbox, 100)}
+	s := &Server{ln: ln, in: make(inbox, 100), by: map[string]net.Conn{}}
 	t.Cleanup(func() { _ = s.Close() })
 	go func() {
 		for {
@@ -198,9 +204,13 @@
 // Addr is where it listens.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
-// Send writes a frame to where the last message came from.
+// Send writes to where the id came that it begins with, else to where the last message came from.
 func (s *Server) Send(words []string) error {
-	_, err := s.last.Write(resp.Append(nil, words...))
+	to := s.last
+	if nc := s.by[words[0]]; nc != nil {
+		to = nc
+	}
+	_, err := to.Write(encode(words))
 	return err
 }
 
@@ -208,6 +218,9 @@
 func (s *Server) Receive() ([]string, error) {
 	m, err := s.in.take()
 	s.last = m.from
+	if len(m.words) > 1 {
+		s.by[m.words[1]] = m.from
+	}
 	return m.words, err
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,6 +18,7 @@
 	to      policy.CacheID
 	frame   []byte
 	sendBy  float64 // Unix ms; 0: any time
+	alone   bool    // may not be repeated: no read may end its connection
 	ttl     float64
 	expired policy.Result
 	end     func(core.End)
@@ -36,7 +37,8 @@
 
 // conn is one connection. Its writer (run) dials, then writes what is queued; its reader hands out answers.
 type conn struct {
-	pool *pool
+	pool  *pool
+	alone bool // for calls that may not be repeated
 
 	mu     sync.Mutex
 	queue  []*call          // not written yet
@@ -56,9 +58,9 @@
 // writeWait: a connection that takes no bytes for so long is broken.
 const writeWait = 3 * time.Second
 
-func newConn(pl *pool) *conn {
+func newConn(pl *pool, alone bool) *conn {
 	return &conn{
-		pool: pl, open: map[string]*call{}, given: map[string]bool{}, wake: make(chan struct{}, 1),
+		pool: pl, alone: alone, open: map[string]*call{}, given: map[string]bool{}, wake: make(chan struct{}, 1),
 		used: pl.all.clock.Now(),
 	}
 }
@@ -70,6 +72,13 @@
 	}
 }
 
+// load is how many calls are open here; ok is false if it takes no more.
+func (k *conn) load() (n int, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.open), !k.closed
+}
+
 // take queues a call if this connection may carry it. One that still owes the answer to an earlier attempt
 // of the same request may not: the two answers could not be told apart.
 func (k *conn) take(c *call) bool {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -41,7 +42,7 @@
 
 // New returns pools without a cache server.
 func New(c *clock.Clock, l Limits) *Pools {
-	l.PerConn, l.Conns = max(1, l.PerConn), max(1, l.Conns)
+	l.PerConn, l.Conns = max(1, l.PerConn), max(aloneConns+1, l.Conns)
 	return &Pools{clock: c, limits: l, pools: map[policy.CacheID]*pool{}}
 }
 
@@ -108,6 +109,7 @@
 func (p *Pools) Send(a core.Attempt, end func(core.End)) (abort func()) {
 	return p.start(&call{
 		id: a.ID, to: a.To, frame: frame(a), sendBy: a.SendBy, ttl: a.TTL, expired: policy.TimedOut, end: end,
+		alone: a.Once,
 	})
 }
 
@@ -117,7 +119,13 @@
 	p.start(&call{id: id, to: to, frame: raw, ttl: probeWait, expired: policy.TimedOut, end: end})
 }
 
-const probeWait = 250
+const (
+	probeWait = 250
+	// usualPart: with so many calls on each connection another one is opened, while there may be more.
+	usualPart = 4
+	// aloneConns of a cache server's connections are for calls that may not be repeated.
+	aloneConns = 2
+)
 
 // start puts a call on a connection and its time-out on the clock.
 func (p *Pools) start(c *call) (abort func()) {
@@ -138,19 +146,38 @@
 	}
 }
 
-// place finds room for a call: a connection in use, else a new one.
+// place finds room for a call: the least loaded connection, or a new one. Guards against an answer that
+// can't be read, which ends all that is open on its connection: reads are spread in small parts, and what
+// may not be repeated goes over connections of its own.
 func (pl *pool) place(c *call) *conn {
+	part, most := usualPart, pl.all.limits.Conns-aloneConns
+	if c.alone {
+		part, most = 1, aloneConns
+	}
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
+	var own []*conn
+	loads := map[*conn]int{}
 	for _, k := range pl.conns {
+		if n, ok := k.load(); ok && k.alone == c.alone {
+			own = append(own, k)
+			loads[k] = n
+		}
+	}
+	slices.SortStableFunc(own, func(a, b *conn) int { return loads[a] - loads[b] })
+	room := len(own) < most && len(pl.conns) < 2*pl.all.limits.Conns
+	for _, k := range own {
+		if room && loads[k] >= part {
+			break
+		}
 		if k.take(c) {
 			return k
 		}
 	}
-	if len(pl.conns) >= pl.all.limits.Conns {
+	if !room {
 		return nil
 	}
-	k := newConn(pl)
+	k := newConn(pl, c.alone)
 	k.take(c)
 	pl.conns = append(pl.conns, k)
 	go k.run()
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,107 @@
+package upstream_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/invariant"
+	"ravenwheel/internal/scenario"
+)
+
+// four reads on one connection, a fifth on another.
+const five = `
+	up send r1
+	s expect fetch r1 * -
+	up send r2
+	s expect fetch r2 * -
+	up send r3
+	s expect fetch r3 * -
+	up send r4
+	s expect fetch r4 * -
+	up send r5
+	s expect fetch r5 * -`
+
+// each script is played against a stand-in of one cache server.
+var scenarios = map[string]string{
+	// Once all attempts to a cache shared a connection, and one bad answer ended up to fifteen.
+	"an answer that can't be read ends what shares its connection, never a write": `
+		up send w1 once
+		s expect fetch w1 * -` + five + `
+		s send r4 served notafield
+		up expect r? reset
+		up expect r? reset
+		up expect r? reset
+		up expect r? reset
+		s expect closed
+		s send r5 served -
+		up expect r5 ok
+		s send w1 served -
+		up expect w1 ok`,
+	"a claim of 3 GB fails at its header": `
+		up send r1
+		s expect fetch r1 * -
+		s send raw *4\r\n$2\r\nr1\r\n$6\r\nserved\r\n$1\r\n-\r\n$3000000000
+		up expect r1 reset`,
+	"a second copy and an unknown id do no harm": `
+		up send r1
+		s expect fetch r1 * -
+		up send r2
+		s expect fetch r2 * -
+		s send r9 served -
+		s send r1 served -
+		s send r1 served -
+		s send r2 served -
+		up expect r1 ok
+		up expect r2 ok`,
+	"an idle connection that breaks off blames nobody": `
+		up send r1
+		s expect fetch r1 * -
+		s send r1 served -
+		up expect r1 ok
+		s send raw noise
+		s expect closed
+		up send r2
+		s expect fetch r2 * -
+		s send r2 served -
+		up expect r2 ok`,
+	"silence: the attempt times out, and the next goes over a new connection": `
+		up send r1
+		s expect fetch r1 * -
+		wait 1000
+		up expect r1 timeout
+		s expect abort r1
+		s expect closed
+		up send r2
+		s expect fetch r2 * -
+		s send r2 served -
+		up expect r2 ok`,
+}
+
+func TestUpstream(t *testing.T) {
+	for name, script := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			p := scenario.NewProxy(t)
+			scenario.Run(t, p.Clock, map[string]scenario.Actor{"up": scenario.Attempt(p.Pools), "s": p.Cache}, script)
+			require.Zero(t, invariant.Broken())
+		})
+	}
+}
+
+// An id that has moved, or that came back at another address, gets new connections there.
+func TestMove(t *testing.T) {
+	p, next := scenario.NewProxy(t), scenario.Listen(t)
+	up := scenario.Attempt(p.Pools)
+	actors := map[string]scenario.Actor{"up": up, "s": p.Cache, "next": next}
+	scenario.Run(t, p.Clock, actors, strings.ReplaceAll(five, "\n\t", "\n"))
+	m := core.Member{Addr: next.Addr()}
+	m.ID = scenario.CacheID
+	p.Core.Notice(core.Notice{Rev: 2, Members: []core.Member{m}})
+	scenario.Run(t, p.Clock, actors, `
+		up send r6
+		next expect fetch r6 * -
+		s send r1 served -
+		up expect r1 ok`)
+}
