Dial again where a new connection is reset; a reset alone does not make a cache cold

Checked with counts of what gave requests up, every 2 s: 1 or 2 attempts that ended ConnectFailed took each cache out, and once back the cold budget turned away 1600 of 1600 refused. A trace of dial errors: 'connection reset by peer', from a peer that listens and resets what is new; 'refused' only from the two that were released. Limits, links and parents were ruled out: places were far under their limits.

Wrong lines: run in conn.go mapped any dial error to ConnectFailed; judge in policy.go took a Reset for a sign that the process had restarted. A process that died refuses the next connection, and that still counts.

Also bounds: the tests fail before the change.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"ravenwheel/internal/clock"
@@ -132,8 +134,23 @@
 	k.signal()
 }
 
+// redials: how often a connection is tried again that was reset as it came up.
+const redials = 2
+
+// dial brings the connection up. Guards against a peer that resets it while it is new: someone listens there,
+// and to call that a failed connection would take a sound cache server out.
+func (k *conn) dial() (nc net.Conn, err error) {
+	for range 1 + redials {
+		nc, err = k.pool.all.limits.Dial("tcp", k.pool.addr, clock.Duration(k.pool.all.limits.Connect))
+		if !errors.Is(err, syscall.ECONNRESET) {
+			break
+		}
+	}
+	return nc, err
+}
+
 func (k *conn) run() {
-	nc, err := net.DialTimeout("tcp", k.pool.addr, clock.Duration(k.pool.all.limits.Connect))
+	nc, err := k.dial()
 	if err != nil {
 		k.end(policy.ConnectFailed, policy.ConnectFailed)
 		return
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,9 +3,11 @@
 package upstream
 
 import (
+	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
@@ -14,10 +16,11 @@
 
 // Limits bound what the connections may take.
 type Limits struct {
-	PerConn int     // attempts out on one connection
-	Conns   int     // connections to one cache server
-	Connect float64 // ms until a connection must be up
-	Idle    float64 // ms after which the other side closes an idle connection
+	PerConn int                                                              // attempts out on one connection
+	Conns   int                                                              // connections to one cache server
+	Connect float64                                                          // ms until a connection must be up
+	Idle    float64                                                          // ms after which the other side closes an idle connection
+	Dial    func(network, addr string, wait time.Duration) (net.Conn, error) // nil: package net's
 }
 
 // Pools are the connections to all cache servers.
@@ -43,6 +46,9 @@
 // New returns pools without a cache server.
 func New(c *clock.Clock, l Limits) *Pools {
 	l.PerConn, l.Conns = max(1, l.PerConn), max(aloneConns+1, l.Conns)
+	if l.Dial == nil {
+		l.Dial = net.DialTimeout
+	}
 	return &Pools{clock: c, limits: l, pools: map[policy.CacheID]*pool{}}
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,14 +1,20 @@
 package upstream_test
 
 import (
+	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/invariant"
 	"ravenwheel/internal/scenario"
+	"ravenwheel/internal/upstream"
 )
 
 // four reads on one connection, a fifth on another.
@@ -105,3 +111,28 @@
 		s send r1 served -
 		up expect r1 ok`)
 }
+
+// A peer that resets a new connection is there: the attempt goes over the next. One that refuses is not.
+func TestResetWhenNew(t *testing.T) {
+	errs := []error{syscall.ECONNRESET, nil, syscall.ECONNREFUSED}
+	dial := func(network, addr string, wait time.Duration) (net.Conn, error) {
+		err := errs[0]
+		errs = errs[1:]
+		if err != nil {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", err)}
+		}
+		return net.DialTimeout(network, addr, wait)
+	}
+	clk, cache := clock.Manual(0), scenario.Listen(t)
+	pools := upstream.New(clk, upstream.Limits{PerConn: 10, Conns: 4, Connect: 5000, Dial: dial})
+	m := core.Member{Addr: cache.Addr()}
+	m.ID = scenario.CacheID
+	pools.Members([]core.Member{m}, true)
+	scenario.Run(t, clk, map[string]scenario.Actor{"up": scenario.Attempt(pools), "s": cache}, `
+		up send r1
+		s expect fetch r1 * -
+		up send w1 once
+		up expect w1 unconnected
+		s send r1 served -
+		up expect r1 ok`)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -545,8 +545,7 @@
 	case o.Result == ConnectFailed:
 		t.lost = true
 		r.markDown(t, "connection failed")
-	case o.Result == Reset:
-		t.lost = true
+	case o.Result == Reset: // of one connection: a process that died refuses the next
 		r.failed(t)
 	case o.Result == Failed || o.Result == Unknown:
 		// Whose error it is shows once another has served the request. Until then it may be the client's,
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -413,6 +413,13 @@
 		if !c.down {
 			t.Errorf("result %d: failing share %v and still up", result, c.failShare)
 		}
+		// Its process ran all the time, as no connection was refused: taken as cold, it would serve little.
+		s.now += trialEvery
+		s.on(req("trial", "o"))
+		s.on(Outcome{ID: "trial", Cache: c.ID, Result: OK, Note: NoteHit})
+		if c.down || c.colds {
+			t.Errorf("result %d: after its trial down %v, cold %v", result, c.down, c.colds)
+		}
 	}
 }
 
