End connections on which an answer stops short; pass over those that went quiet

Now: 300 ms without a byte of a begun answer end its connection; 500 ms without any answer make it the last to be chosen; one that has been told of 256 aborts closes and gives way. Tests fail before the change.

Most of the 211 are single answers that never come on connections that live, and stay lost.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,21 +42,29 @@
 	pool  *pool
 	alone bool // for calls that may not be repeated
 
-	mu     sync.Mutex
-	queue  []*call          // not written yet
-	aborts []string         // ids whose abort is not written yet
-	open   map[string]*call // queued or written, not over
-	given  map[string]bool  // given up after they were written: an answer may still come
-	nc     net.Conn
-	heard  float64 // when an answer came last
-	used   float64 // when the connection last had a call
-	closed bool    // takes nothing more
-	wake   chan struct{}
+	mu      sync.Mutex
+	queue   []*call          // not written yet
+	aborts  []string         // ids whose abort is not written yet
+	open    map[string]*call // queued or written, not over
+	given   map[string]bool  // given up after they were written: an answer may still come
+	nc      net.Conn
+	heard   float64 // when an answer came last
+	quiet   float64 // since when calls wait and none was answered
+	half    float64 // when bytes of an answer came last that is not whole; 0: it is
+	watched bool    // a timer looks at half
+	used    float64 // when the connection last had a call
+	closed  bool    // takes nothing more
+	wake    chan struct{}
 }
 
-// mostGiven: with so many answers still owed to nobody, a connection takes no new calls.
+// mostGiven: with so many answers still owed to nobody, a connection takes no new calls. Most of them never
+// come, as a cache server that was told to abort sends none: the connection is replaced by another.
 const mostGiven = 256
 
+// quietFor: a connection on which calls wait for so many ms and none is answered is the last to get another.
+// stallFor: an answer of which no more comes for so many ms has stopped short.
+const quietFor, stallFor = 500, 300
+
 // writeWait: a connection that takes no bytes for so long is broken.
 const writeWait = 3 * time.Second
 
@@ -74,11 +82,15 @@
 	}
 }
 
-// load is how many calls are open here; ok is false if it takes no more.
+// load is how many calls are open here; ok is false if it takes no more. Guards against a connection on which
+// nothing comes any more: with few calls open, it would get the next ones. It counts as full.
 func (k *conn) load() (n int, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.open), !k.closed
+	if n = len(k.open); n > 0 && k.pool.all.clock.Now()-k.quiet >= quietFor {
+		n += k.pool.all.limits.PerConn
+	}
+	return n, !k.closed
 }
 
 // take queues a call if this connection may carry it. One that still owes the answer to an earlier attempt
@@ -86,13 +98,16 @@
 func (k *conn) take(c *call) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.closed || len(k.open) >= k.pool.all.limits.PerConn || len(k.given) >= mostGiven ||
+	if k.closed || len(k.open) >= k.pool.all.limits.PerConn ||
 		k.given[c.id] || k.open[c.id] != nil {
 		return false
 	}
+	k.used = k.pool.all.clock.Now()
+	if len(k.open) == 0 {
+		k.quiet = k.used
+	}
 	k.open[c.id] = c
 	k.queue = append(k.queue, c)
-	k.used = k.pool.all.clock.Now()
 	k.signal()
 	return true
 }
@@ -110,6 +125,9 @@
 	if c.written {
 		result = c.expired
 		k.given[c.id] = true
+		if len(k.given) >= mostGiven {
+			k.closed = true
+		}
 		k.aborts = append(k.aborts, c.id)
 		// Guards against a machine that vanished: its connections stay open and silent, and a trial over
 		// one would find it dead after it is back. No answer since the call was sent: no new calls here.
@@ -219,9 +237,9 @@
 func (k *conn) read(nc net.Conn) {
 	buf := resp.Buffer{Most: resp.MostAnswered}
 	for {
-		parts, _, err := buf.Next(nc)
+		parts, _, err := buf.Next(halves{k, nc, &buf})
 		if err == nil {
-			err = k.answer(parts)
+			err = k.answer(parts, buf.Held() > 0)
 		}
 		if err != nil {
 			nc.Close()
@@ -233,7 +251,47 @@
 	}
 }
 
-func (k *conn) answer(parts [][]byte) error {
+// halves reads for a connection's buffer, and notes whenever more of an answer is waited for.
+type halves struct {
+	k   *conn
+	nc  net.Conn
+	buf *resp.Buffer
+}
+
+func (h halves) Read(p []byte) (int, error) {
+	if h.buf.Held() > 0 {
+		h.k.mu.Lock()
+		h.k.begun()
+		h.k.mu.Unlock()
+	}
+	return h.nc.Read(p)
+}
+
+// begun notes that bytes have come that are no whole answer yet.
+func (k *conn) begun() {
+	k.half = k.pool.all.clock.Now()
+	if !k.watched {
+		k.watched = true
+		k.pool.all.clock.After(stallFor, k.stalled)
+	}
+}
+
+// stalled ends a connection on which an answer stopped short: none that is behind it can come.
+func (k *conn) stalled() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.half == 0 {
+		k.watched = false
+		return
+	}
+	if left := k.half + stallFor - k.pool.all.clock.Now(); left > 0 {
+		k.pool.all.clock.After(left, k.stalled)
+		return
+	}
+	k.nc.Close() // the reader ends what is open
+}
+
+func (k *conn) answer(parts [][]byte, more bool) error {
 	id, e, err := readAnswer(parts)
 	if err != nil {
 		return err
@@ -250,7 +308,10 @@
 		k.pool.all.Late.Add(1)
 	}
 	now := k.pool.all.clock.Now()
-	k.heard, k.used = now, now
+	k.heard, k.used, k.quiet, k.half = now, now, now, 0
+	if more {
+		k.begun()
+	}
 	if k.closed {
 		k.signal()
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"strings"
@@ -51,6 +52,28 @@
 		s expect fetch r1 * -
 		s send raw *4\r\n$2\r\nr1\r\n$6\r\nserved\r\n$1\r\n-\r\n$3000000000
 		up expect r1 reset`,
+	// Once those behind it waited until their clients gave up.
+	"an answer that stops short ends its connection's calls soon": `
+		up send r1
+		s expect fetch r1 * -
+		up send r2
+		s expect fetch r2 * -
+		s send half *2\r\n$2\r\nr1\r\n$6\r\nserved\r\n*2\r\n$2\r\nr2\r\n$6\r\nser
+		up expect r1 ok
+		wait 300
+		s expect closed
+		up expect r2 reset`,
+	"a connection that has gone quiet gets no more calls": `
+		up send r1
+		s expect fetch r1 * -
+		wait 500
+		up send r2
+		s expect fetch r2 * -
+		s send r2 served notafield
+		up expect r2 reset
+		s expect closed
+		s send r1 served -
+		up expect r1 ok`,
 	"a second copy and an unknown id do no harm": `
 		up send r1
 		s expect fetch r1 * -
@@ -112,6 +135,37 @@
 		up expect r1 ok`)
 }
 
+type dialer func(network, addr string, wait time.Duration) (net.Conn, error)
+
+// newPools has one cache server, and one connection for reads.
+func newPools(clk *clock.Clock, cache *scenario.Server, dial dialer) *upstream.Pools {
+	pools := upstream.New(clk, upstream.Limits{PerConn: 10, Conns: 3, Connect: 5000, Dial: dial})
+	m := core.Member{Addr: cache.Addr()}
+	m.ID = scenario.CacheID
+	pools.Members([]core.Member{m}, true)
+	return pools
+}
+
+// Clients that leave by the hundred: a connection that has been told of too many gives way to another. Once it
+// kept its place, and attempts found no room.
+func TestManyAborts(t *testing.T) {
+	clk, cache := clock.Manual(0), scenario.Listen(t)
+	pools := newPools(clk, cache, nil)
+	actors := map[string]scenario.Actor{"up": scenario.Attempt(pools), "s": cache}
+	for i := range 300 {
+		id := fmt.Sprint("r", i)
+		abort := pools.Send(core.Attempt{ID: id, To: scenario.CacheID, TTL: 1000}, func(e core.End) {
+			t.Errorf("%s ended: %+v", id, e)
+		})
+		scenario.Run(t, clk, actors, "s expect fetch * * -")
+		abort()
+		scenario.Run(t, clk, actors, "s expect abort *")
+		if i == 255 {
+			scenario.Run(t, clk, actors, "s expect closed")
+		}
+	}
+}
+
 // A peer that resets a new connection is there: the attempt goes over the next. One that refuses is not.
 func TestResetWhenNew(t *testing.T) {
 	errs := []error{syscall.ECONNRESET, nil, syscall.ECONNREFUSED}
@@ -124,10 +178,7 @@
 		return net.DialTimeout(network, addr, wait)
 	}
 	clk, cache := clock.Manual(0), scenario.Listen(t)
-	pools := upstream.New(clk, upstream.Limits{PerConn: 10, Conns: 4, Connect: 5000, Dial: dial})
-	m := core.Member{Addr: cache.Addr()}
-	m.ID = scenario.CacheID
-	pools.Members([]core.Member{m}, true)
+	pools := newPools(clk, cache, dial)
 	scenario.Run(t, clk, map[string]scenario.Actor{"up": scenario.Attempt(pools), "s": cache}, `
 		up send r1
 		s expect fetch r1 * -
