Count a fill that times out for its parent too, where that has most of the fills

Checked with limits and places logged every 2 s: all fills go to the one parent left, and its limit rises from 16 to 17.6 while they time out; only the origin's falls, 16 to 0.1, and the location link's, 16 to 9. No cache was marked down, no connection broke, so health and sockets were ruled out. Wrong line: learn (policy.go, case TimedOut with a.deep) blamed the origin alone.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -50,6 +50,9 @@
 	sourceStart, sourceLeast = 16.0, 0.1
 	limitShrink, limitRaise  = 0.9, 0.1
 	limitStep                = 2.0
+	// mainSource: a source with more than this part of the fills under way shares the blame for one that timed
+	// out with the origin behind it. Lower relieves parents sooner, and shuts them for a slow origin's sake.
+	mainSource = 0.7
 	// usualLink: the limits above are in places of caches whose links hold so many transfers. Where those
 	// told hold more, a place stands for as many more, and one answer speaks for that much less of a limit:
 	// a few late ones a second would else keep the limits of a large fleet at those of a small one.
@@ -621,6 +624,9 @@
 		r.adapt(decided, a.late)
 	case o.Result == TimedOut && a.deep != nil && a.to.lastAnswer > a.sent:
 		r.adapt(a.deep, true) // a cache that answers others waits for the source
+		if float64(a.source.fills) > mainSource*float64(r.link.fills) {
+			r.adapt(a.source, true)
+		}
 	case o.Note == NoteSourceRefused && a.source != nil:
 		r.adapt(a.source, true) // whoever is full is over its limit, at first or second hand
 	case o.Result == TimedOut || a.to.fullUntil > r.now:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -460,6 +460,34 @@
 	}
 }
 
+// Fills that time out while their cache answers others lower the limit of the parent that has them all, as well
+// as the origin's: once a lone parent was asked for more and more that it could not send in time.
+func TestLoneParentTimesOut(t *testing.T) {
+	for _, gone := range []bool{true, false} {
+		s := start(t, settings(), fleet())
+		if gone {
+			s.on(Members{Kind: ListChanges, Entries: []Member{{ID: 12, Kind: 1, State: Gone, Weight: 20}}})
+		}
+		for i := range 14 {
+			s.on(req(fmt.Sprint(i), fmt.Sprint("o", i)))
+		}
+		s.now += 2900 * ms
+		s.r.known[11].limit, s.r.origin.limit = 4, 0.5 // both have what they are let have
+		timedOut := 0
+		for i := range 14 {
+			a := s.r.reqs[fmt.Sprint(i)].attempts[0]
+			if a.to.lastAnswer = s.now; a.source.ID == 11 {
+				s.on(Outcome{ID: fmt.Sprint(i), Cache: a.to.ID, Result: TimedOut, Latency: 2900 * ms})
+				timedOut++
+			}
+		}
+		lone, deep := s.r.known[11].limit, s.r.origin.limit
+		if timedOut == 0 || deep >= 0.5 || (lone < 4) != gone {
+			t.Errorf("other parent gone %v: limits %v of the parent, %v of the origin after %d", gone, lone, deep, timedOut)
+		}
+	}
+}
+
 // A crowded pick yields only to a cache with half of its places free.
 func TestYield(t *testing.T) {
 	s := start(t, settings(), fleet())
