--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,7 +51,7 @@
 	limitShrink, limitRaise  = 0.9, 0.1
 	limitStep                = 2.0
 	// mainSource: a source with more than this part of the fills under way shares the blame for one that
-	// timed out with the origin behind it. Lower relieves parents sooner, and shuts them when the origin is slow.
+	// timed out with the origin behind it. Lower relieves parents sooner, and shuts them for a slow origin.
 	mainSource = 0.7
 	// usualLink: the limits above are in places of caches whose links hold so many transfers. Where those
 	// told hold more, a place stands for as many more, and one answer speaks for that much less of a limit:
