Move the fronts and the notice board to front/ and source/

The layout that is to come sorts packages by the way data flows. This commit only moves: internal/respfront, internal/signedfront and internal/board are now internal/front/resp, internal/front/signed and internal/source/board, with their package names.

--- a/cmd/ravenwheel/operator.go
+++ b/cmd/ravenwheel/operator.go
@@ -9,7 +9,7 @@
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
-	"ravenwheel/internal/signedfront"
+	"ravenwheel/internal/front/signed"
 	"ravenwheel/internal/snmp"
 	"ravenwheel/internal/store"
 	"ravenwheel/internal/upstream"
@@ -60,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	front := signedfront.New(signedfront.Options{Audience: s.Audience, Leeway: s.LeewayMs, Clock: clk, Store: st, Core: c})
+	front := signed.New(signed.Options{Audience: s.Audience, Leeway: s.LeewayMs, Clock: clk, Store: st, Core: c})
 	go func() {
 		if err := front.Serve(ln); err != nil {
 			log.Print("signed front: ", err)
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -15,11 +15,11 @@
 
 	"github.com/spf13/cobra"
 
-	"ravenwheel/internal/board"
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
-	"ravenwheel/internal/respfront"
+	"ravenwheel/internal/front/resp"
+	"ravenwheel/internal/source/board"
 	"ravenwheel/internal/upstream"
 )
 
@@ -104,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	front := respfront.New(ln, conf.Sockets/2, clk, c)
+	front := resp.New(ln, conf.Sockets/2, clk, c)
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve() }()
 	go func() {
@@ -134,7 +134,7 @@
 }
 
 // drain lets what is still on its way in come, then answers what is open.
-func drain(front *respfront.Front, conf *config.Config, stopOperator func(context.Context)) {
+func drain(front *resp.Front, conf *config.Config, stopOperator func(context.Context)) {
 	end := time.Now().Add(longest(conf) + 700*time.Millisecond - stopMargin)
 	time.Sleep(stopGrace)
 	_ = front.Close()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,8 +7,8 @@
 	"os"
 	"strconv"
 
-	"ravenwheel/internal/board"
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/source/board"
 	"ravenwheel/policy"
 	"ravenwheel/wire"
 )
--- a/internal/respfront/call.go
+++ b/internal/front/resp/call.go
@@ -1,4 +1,4 @@
-package respfront
+package resp
 
 import (
 	"bytes"
--- a/internal/respfront/front.go
+++ b/internal/front/resp/front.go
@@ -1,6 +1,6 @@
-// Package respfront speaks the platform's protocol with clients: RESP arrays, many requests open on a
+// Package resp speaks the platform's protocol with clients: RESP arrays, many requests open on a
 // connection, answers in any order. It is thin: what becomes of a request is the core's to say.
-package respfront
+package resp
 
 import (
 	"cmp"
--- a/internal/respfront/front_test.go
+++ b/internal/front/resp/front_test.go
@@ -1,4 +1,4 @@
-package respfront_test
+package resp_test
 
 import (
 	"net"
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/front/resp"
 	"ravenwheel/internal/invariant"
-	"ravenwheel/internal/respfront"
 	"ravenwheel/internal/scenario"
 )
 
@@ -131,7 +131,7 @@
 	p := scenario.NewProxy(t)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	f := respfront.New(ln, 3, p.Clock, p.Core)
+	f := resp.New(ln, 3, p.Clock, p.Core)
 	go func() { _ = f.Serve() }()
 	defer f.Close()
 	actors := map[string]scenario.Actor{"s": p.Cache}
@@ -168,7 +168,7 @@
 			p := scenario.NewProxy(t)
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
-			f := respfront.New(ln, 10, p.Clock, p.Core)
+			f := resp.New(ln, 10, p.Clock, p.Core)
 			go func() { _ = f.Serve() }()
 			defer f.Close()
 			scenario.Run(t, p.Clock, map[string]scenario.Actor{
@@ -182,4 +182,4 @@
 	}
 }
 
-var _ respfront.Doer = (*core.Core)(nil)
+var _ resp.Doer = (*core.Core)(nil)
--- a/internal/signedfront/front.go
+++ b/internal/front/signed/front.go
@@ -1,4 +1,4 @@
-package signedfront
+package signed
 
 import (
 	"context"
--- a/internal/signedfront/front_test.go
+++ b/internal/front/signed/front_test.go
@@ -1,4 +1,4 @@
-package signedfront_test
+package signed_test
 
 import (
 	"context"
@@ -19,8 +19,8 @@
 	"github.com/golang-jwt/jwt/v5"
 	"github.com/stretchr/testify/require"
 
+	"ravenwheel/internal/front/signed"
 	"ravenwheel/internal/scenario"
-	"ravenwheel/internal/signedfront"
 	"ravenwheel/internal/store"
 )
 
@@ -197,7 +197,7 @@
 
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	f := signedfront.New(signedfront.Options{Audience: "tabletop", Leeway: leeway, Clock: p.Clock, Store: st, Core: p.Core})
+	f := signed.New(signed.Options{Audience: "tabletop", Leeway: leeway, Clock: p.Clock, Store: st, Core: p.Core})
 	go func() { _ = f.Serve(ln) }()
 	defer func() {
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/signedfront/token.go
+++ b/internal/front/signed/token.go
@@ -1,6 +1,6 @@
-// Package signedfront serves signed links and tokens over HTTP: URI Signing as in RFC 9246, and bearer
+// Package signed serves signed links and tokens over HTTP: URI Signing as in RFC 9246, and bearer
 // tokens for writes. What becomes of a request is the core's to say, as for every other front.
-package signedfront
+package signed
 
 import (
 	"crypto/sha256"
