--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,5 +1,5 @@
 // Package store keeps configuration, signing keys, revocations and spent token ids in a small replicated
-// log (hashicorp/raft). One member in memory needs no socket; several speak over TCP.
+// log (hashicorp/raft). One member alone in memory needs no log and no socket; several speak over TCP.
 package store
 
 import (
@@ -10,6 +10,7 @@
 	"net"
 	"net/rpc"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -49,7 +50,8 @@
 type Store struct {
 	opt     Options
 	state   *state
-	raft    *raft.Raft
+	raft    *raft.Raft // nil: alone and in memory, where a log would serve nobody
+	closed  atomic.Bool
 	ln      net.Listener
 	closers []io.Closer
 }
@@ -60,6 +62,9 @@
 		o.Timeout = 2 * time.Second
 	}
 	s := &Store{opt: o, state: newState()}
+	if o.Self == (Peer{}) && o.Dir == "" {
+		return s, nil
+	}
 	if err := s.open(); err != nil {
 		_ = s.Close()
 		return nil, fmt.Errorf("store: %w", err)
@@ -140,6 +145,7 @@
 // Close ends this member.
 func (s *Store) Close() error {
 	var err error
+	s.closed.Store(true)
 	if s.raft != nil {
 		err = s.raft.Shutdown().Error()
 	}
@@ -150,7 +156,12 @@
 }
 
 // Leader tells whether this member leads.
-func (s *Store) Leader() bool { return s.raft.State() == raft.Leader }
+func (s *Store) Leader() bool {
+	if s.raft == nil {
+		return !s.closed.Load()
+	}
+	return s.raft.State() == raft.Leader
+}
 
 // Spend marks a token id as used until its token is void. It returns ErrSpent for a replay.
 func (s *Store) Spend(jti string, until float64) error {
@@ -212,7 +223,13 @@
 	if err != nil {
 		return err
 	}
-	if s.Leader() {
+	switch {
+	case s.raft == nil && s.closed.Load():
+		return ErrUnavailable
+	case s.raft == nil:
+		err, _ := s.state.Apply(&raft.Log{Data: raw}).(error)
+		return err
+	case s.Leader():
 		return s.apply(raw)
 	}
 	_, leader := s.raft.LeaderWithID()
