--- /dev/null
+++ b/internal/decide/strict/strict_test.go
@@ -0,0 +1,99 @@
+package strict_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/decide/strict"
+)
+
+type form struct {
+	Name    string             `json:"name"`
+	Size    int                `json:"size"`
+	Seed    uint64             `json:"seed"`
+	Weight  float64            `json:"weight"`
+	Force   bool               `json:"force"`
+	Parts   []part             `json:"parts"`
+	Weights map[string]float64 `json:"weights"`
+	Extra   *part              `json:"extra"`
+}
+
+type part struct {
+	File string `json:"file"`
+}
+
+// Each text is refused with this line, and no other.
+var refused = map[string]string{
+	"":                              "f: empty",
+	" \n":                           "f: empty",
+	`{"name": "a", "name": "b"}`:    `f:1:15: "name" is given twice`,
+	"{\n  \"nam\": 1\n}":            `f:2:3: unknown field "nam"; did you mean "name"?`,
+	`{"Name": "a"}`:                 `f:1:2: unknown field "Name"; did you mean "name"?`,
+	`{"zzz": 1}`:                    `f:1:2: unknown field "zzz"`,
+	`{"size": 1.5}`:                 "f:1:10: wants a whole number, not 1.5",
+	`{"seed": -1}`:                  "f:1:10: wants a whole number of 0 or more, not -1",
+	`{"weight": 1e999}`:             "f:1:12: wants a finite number, not 1e999",
+	`{"name": 3}`:                   "f:1:10: wants a text, not 3",
+	`{"name": []}`:                  "f:1:10: wants a text, not a list",
+	`{"force": "yes"}`:              `f:1:11: wants true or false, not "yes"`,
+	`{"parts": {}}`:                 "f:1:11: wants a list, not an object",
+	`{"extra": 1}`:                  "f:1:11: wants an object, not 1",
+	`{"weights": []}`:               "f:1:13: wants an object, not a list",
+	`{"name": null}`:                "f:1:10: null is no value here",
+	`[]`:                            "f:1:1: wants an object, not a list",
+	`{"parts": [{"file": "a"}, 7]}`: "f:1:27: wants an object, not 7",
+	strings.Repeat("[", 1000):       "f:1:33: nested deeper than 32 levels",
+}
+
+func TestRefused(t *testing.T) {
+	for text, want := range refused {
+		require.EqualError(t, strict.Decode("f", []byte(text), &form{}).Defects, want, text)
+	}
+}
+
+func TestPlaces(t *testing.T) {
+	var f form
+	d := strict.Decode("f", []byte("{ // by hand\n  \"name\": \"a\", /* [[ */\n  \"parts\": [\n    {\"file\": \"x\"},\n  ],\n}"), &f)
+	require.NoError(t, d.Defects.Err())
+	require.Equal(t, form{Name: "a", Parts: []part{{"x"}}}, f)
+	require.True(t, d.Has("parts[0].file") && !d.Has("size"))
+	require.Equal(t, "4:14", d.Place("parts[0].file"))
+	d.Fail("parts[0].file", "no such file %q", "x")
+	d.Fail("parts[0].hash", "is missing")
+	d.Fail("size", "is missing")
+	require.EqualError(t, d.Defects, "f:4:14: no such file \"x\"\nf:4:5: is missing\nf:1:1: is missing")
+}
+
+// A text that was cut anywhere gives a defect or, past its last brace, the same value; never another one.
+func TestEveryTruncation(t *testing.T) {
+	text := `{"name":"a","size":12,"parts":[{"file":"x"}],"weights":{"a":1.5}}` + "\n\n"
+	for i := range text {
+		var f form
+		d := strict.Decode("f", []byte(text[:i]), &f)
+		require.Equal(t, i > strings.LastIndex(text, "}"), d.Ok(), text[:i])
+	}
+}
+
+func TestManyDefects(t *testing.T) {
+	var list struct {
+		Parts []part `json:"parts"`
+	}
+	d := strict.Decode("f", []byte(`{"parts":[`+strings.Repeat("1,", 5000)+"1]}"), &list)
+	require.Len(t, d.Defects, 100)
+	require.Contains(t, d.Defects.Error(), "4902 more defects")
+}
+
+func FuzzDecode(f *testing.F) {
+	for text := range refused {
+		f.Add([]byte(text))
+	}
+	f.Add([]byte(`{"name":"a","parts":[{"file":"\ud800"}],} /*`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var v form
+		for _, x := range strict.Decode("f", text, &v).Defects {
+			require.NotContains(t, x.Error(), "\n")
+		}
+	})
+}
