Server lists in JSON with comments: a set is taken whole, or refused with file, line and column

Operators who edit a list by hand fear that a half-written or wrong one sends seat claims nowhere. internal/decide/serverlist reads one file, or a directory whose manifest names the parts and their hashes, and refuses what is torn, doubled under any spelling, unknown, out of range, older than what is in use, or takes too many ready servers out at once. Hosts are given answers from outside, so that it asks no resolver.

--- /dev/null
+++ b/internal/decide/serverlist/list_test.go
@@ -0,0 +1,258 @@
+package serverlist_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/decide/serverlist"
+)
+
+var facts = serverlist.Facts{
+	Zones: []string{"hub", "east", "west"}, Kinds: []string{"small", "parent", "origin"},
+	ParentKind: "parent", OriginKind: "origin", Clients: []string{"east"}, Writes: true, MostDropped: 0.5,
+}
+
+const (
+	origin = `{"id": "s-00000014", "addr": "127.0.0.20:4100", "zone": "hub", "kind": "origin", "weight": 9}`
+	east1  = `{"id": "s-00000001", "addr": "cache1.example.org:4100", "zone": "east", "kind": "small", "weight": 4}`
+	east2  = `{"id": "s-00000002", "addr": "127.0.0.2:4100", "zone": "east", "kind": "small", "weight": 4}`
+	east3  = `{"id": "s-00000003", "addr": "127.0.0.3:4100", "zone": "east", "kind": "small", "weight": 4}`
+	west4  = `{"id": "s-00000004", "addr": "[::1]:4100", "zone": "west", "kind": "small", "weight": 4}`
+)
+
+// list is a list file, an entry a line from line 2 on.
+func list(generation int, entries ...string) string {
+	return fmt.Sprintf("{\"generation\": %d, \"servers\": [\n%s],\n\"end\": %[1]d}", generation, strings.Join(entries, ",\n"))
+}
+
+var answers = map[string]serverlist.Answer{
+	"cache1.example.org": {Addrs: []string{"127.0.1.1"}}, "cache2.example.org": {Addrs: []string{"127.0.1.1"}},
+	"127.0.0.2": {Addrs: []string{"127.0.0.2"}}, "127.0.0.3": {Addrs: []string{"127.0.0.3"}},
+	"127.0.0.20": {Addrs: []string{"127.0.0.20"}}, "::1": {Addrs: []string{"::1"}}, "0:0:0:0:0:0:0:1": {Addrs: []string{"::1"}},
+	"::ffff:127.0.0.2": {Addrs: []string{"127.0.0.2"}}, "hangs.example.org": {Err: "can't be resolved: no answer in 2 s"},
+	"many.example.org": {Addrs: []string{"127.0.1.9", "127.0.1.8"}},
+}
+
+// take parses and settles one file; the defects are lines, "" for none.
+func take(text string, old *serverlist.Set) (*serverlist.Set, string) {
+	d, bad := serverlist.Parse([]serverlist.File{{Name: "l", Data: []byte(text)}}, facts)
+	if bad != nil {
+		return nil, bad.Error()
+	}
+	set, bad := d.Settle(answers, old)
+	if bad != nil {
+		return nil, bad.Error()
+	}
+	return set, ""
+}
+
+func with(entry, from, to string) string {
+	if !strings.Contains(entry, from) {
+		panic(from)
+	}
+	return strings.Replace(entry, from, to, 1)
+}
+
+// Each list is refused with these lines.
+func TestRefused(t *testing.T) {
+	for name, c := range map[string]struct{ text, want string }{
+		"truncated":        {list(1, origin, east1)[:80], "l:2:50: ends too early: parsing string: unexpected EOF"},
+		"an unknown field": {list(1, origin, with(east1, `"zone"`, `"Zone"`)), `l:3:57: unknown field "Zone"; did you mean "zone"?`},
+		"no generation":    {`{"servers": [` + origin + "," + east1 + `], "end": 1}`, "l:1:1: generation is missing"},
+		"generation 0":     {list(0, origin, east1), "l:1:16: generation counts from 1"},
+		"no end":           {`{"generation": 1, "servers": [` + origin + "," + east1 + `]}`, "l:1:1: end is missing: it gives the generation once more, behind all else"},
+		"torn":             {strings.Replace(list(1, origin, east1), `"end": 1`, `"end": 2`, 1), "l:4:8: end says 2, generation 1: the file is half written"},
+		"no servers":       {`{"generation": 1, "end": 1}`, "l:1:1: servers is missing"},
+		"two ids alike":    {list(1, origin, east1, with(east2, "02", "01")), "l:4:8: id s-00000001 is that of l:3:1 too"},
+		"an id in capitals": {list(1, origin, east1, with(east2, "s-00000002", "s-0000000A")),
+			`l:4:8: id "s-0000000A" is not of the form s-00c41f7a`},
+		"an address twice": {list(1, origin, east1, with(east2, "127.0.0.2", "127.0.0.20")), "l:4:30: 127.0.0.20:4100 is the address of s-00000014 at l:2:1 too"},
+		"a host twice": {list(1, origin, east1, with(east2, "127.0.0.2:4100", "CACHE1.Example.org.:4100")),
+			"l:4:30: cache1.example.org:4100 is the address of s-00000001 at l:3:1 too"},
+		"a port twice": {list(1, origin, east1, with(east2, "127.0.0.2:4100", "cache1.example.org:04100")),
+			"l:4:30: cache1.example.org:4100 is the address of s-00000001 at l:3:1 too"},
+		"two names of one host": {list(1, origin, east1, with(east2, "127.0.0.2:4100", "cache2.example.org:4100")),
+			"l:4:30: cache2.example.org is 127.0.1.1:4100, the address of s-00000001 at l:3:1 too"},
+		"an IPv6 host twice": {list(1, origin, east1, west4, with(east2, "127.0.0.2", "[0:0:0:0:0:0:0:1]")),
+			"l:4:30: ::1 is [::1]:4100, the address of s-00000002 at l:5:1 too"},
+		"an IPv4 host in IPv6": {list(1, origin, east1, east2, with(east3, "127.0.0.3", "[::ffff:127.0.0.2]")),
+			"l:5:30: ::ffff:127.0.0.2 is 127.0.0.2:4100, the address of s-00000002 at l:4:1 too"},
+		"a resolver that hangs": {list(1, origin, east1, with(east2, "127.0.0.2", "hangs.example.org")),
+			"l:4:30: hangs.example.org can't be resolved: no answer in 2 s"},
+		"a name nobody knows": {list(1, origin, east1, with(east2, "127.0.0.2", "none.example.org")), "l:4:30: none.example.org has no address"},
+		"no port":             {list(1, origin, east1, with(east2, ":4100", "")), `l:4:30: addr "127.0.0.2" has no port`},
+		"port 0":              {list(1, origin, east1, with(east2, ":4100", ":0")), `l:4:30: addr "127.0.0.2:0" has no port from 1 to 65535 but "0"`},
+		"a host of signs":     {list(1, origin, east1, with(east2, "127.0.0.2", "a b")), `l:4:30: addr "a b:4100" has no host that can be looked up`},
+		"an unknown zone":     {list(1, origin, east1, with(east2, "east", "north")), `l:4:56: unknown zone "north"`},
+		"an unknown kind":     {list(1, origin, east1, with(east2, "small", "big")), `l:4:72: unknown kind "big"`},
+		"an unknown state":    {list(1, origin, east1, with(east2, `"weight"`, `"state": "up", "weight"`)), `l:4:90: state "up" is neither ready nor draining`},
+		"no weight":           {list(1, origin, east1, with(east2, `, "weight": 4`, "")), "l:4:1: weight is missing"},
+		"weight 0":            {list(1, origin, east1, with(east2, `: 4}`, ": 0}")), "l:4:91: weight 0 is not above 0 and at most 1e+06"},
+		"an endless weight":   {list(1, origin, east1, with(east2, `: 4}`, ": 1e999}")), "l:4:91: wants a finite number, not 1e999"},
+		"no origin":           {list(1, east1), `l:1:30: no ready server of kind "origin", and there are classes that write`},
+		"no cache for clients": {list(1, origin, with(east1, `"weight"`, `"state": "draining", "weight"`), west4),
+			`l:1:30: no ready cache in zone "east", which has clients`},
+	} {
+		set, got := take(c.text, nil)
+		assert.Equal(t, c.want, got, name)
+		assert.Nil(t, set, name)
+	}
+}
+
+// What a list may make of the one before it.
+func TestAgainst(t *testing.T) {
+	old, bad := take(list(7, origin, east1, east2, east3, west4), nil)
+	require.Empty(t, bad)
+	same, bad := take("// saved again\n"+list(7, west4, east1, origin, east3, east2), old)
+	require.Empty(t, bad)
+	require.Same(t, old, same, "a file that is merely saved again changes nothing")
+	for text, want := range map[string]string{
+		list(6, origin, east1, east2, east3, west4): "l:1:16: generation goes back from 7 to 6",
+		list(7, origin, east1, east2, east3):        "l:1:16: generation 7 was used for another list: give a changed list the next one",
+		list(8, origin, east1):                      "l:1:16: takes 3 of 5 ready servers out of use, 2 at the most without \"force\": true",
+		list(8, origin, east1, east2, with(east3, `"weight"`, `"state": "draining", "weight"`)): "",
+		strings.Replace(list(8, origin, east1), "{", `{"force": true, `, 1):                     "",
+	} {
+		_, got := take(text, old)
+		require.Equal(t, want, got, text)
+	}
+	next, bad := take(list(8, origin, with(east1, `: 4}`, ": 6}"), with(east2, `"weight"`, `"state": "draining", "weight"`), west4,
+		with(with(east3, "3\"", "5\""), "127.0.0.3", "many.example.org")), old)
+	require.Empty(t, bad)
+	var lines []string
+	for _, c := range serverlist.Diff(old, next) {
+		lines = append(lines, fmt.Sprintf("%s %s %s", serverlist.Name(c.ID), c.Verb, c.Text))
+	}
+	require.Equal(t, []string{
+		"s-00000001 re-weighted from 4 to 6",
+		"s-00000002 drained 127.0.0.2:4100, draining",
+		"s-00000003 dropped 127.0.0.3:4100: drains, then is gone",
+		"s-00000005 added 127.0.1.8:4100 in east, small, weight 4",
+	}, lines)
+
+	// A name with many addresses stays at the one in use while it is among them, and then moves.
+	answers["many.example.org"] = serverlist.Answer{Addrs: []string{"127.0.1.7", "127.0.1.8"}}
+	text := list(8, origin, with(east1, `: 4}`, ": 6}"), with(east2, `"weight"`, `"state": "draining", "weight"`), west4,
+		with(with(east3, "3\"", "5\""), "127.0.0.3", "many.example.org"))
+	again, bad := take(text, next)
+	require.Empty(t, bad)
+	require.Same(t, next, again)
+	answers["many.example.org"] = serverlist.Answer{Addrs: []string{"127.0.1.7"}}
+	moved, bad := take(text, next)
+	require.Empty(t, bad)
+	require.Equal(t, "moved", serverlist.Diff(next, moved)[0].Verb)
+	// To an address that another server has: the list that was good stays.
+	answers["many.example.org"] = serverlist.Answer{Addrs: []string{"127.0.0.2"}}
+	_, got := take(text, next)
+	require.Contains(t, got, "the address of s-00000002")
+}
+
+func part(entries ...string) []byte {
+	return []byte("{\"servers\": [\n" + strings.Join(entries, ",\n") + "]}")
+}
+
+func manifest(generation int, parts map[string][]byte, names ...string) serverlist.File {
+	var lines []string
+	for _, n := range names {
+		lines = append(lines, fmt.Sprintf(`{"file": %q, "sha256": "%x"}`, n, sha256.Sum256(parts[n])))
+	}
+	return serverlist.File{Name: "d/manifest.jsonc", Data: fmt.Appendf(nil, "{\"generation\": %d, \"parts\": [\n%s],\n\"end\": %[1]d}",
+		generation, strings.Join(lines, ",\n"))}
+}
+
+// A directory counts only when every part is there as it was meant.
+func TestParts(t *testing.T) {
+	parts := map[string][]byte{"hub.jsonc": part(origin), "east.jsonc": part(east1, east2), "new.jsonc": part(east1, east3)}
+	files := func(m serverlist.File, names ...string) []serverlist.File {
+		out := []serverlist.File{m}
+		for _, n := range names {
+			out = append(out, serverlist.File{Name: "d/" + n, Data: parts[n]})
+		}
+		return out
+	}
+	good := manifest(3, parts, "hub.jsonc", "east.jsonc")
+	d, bad := serverlist.Parse(files(good, "hub.jsonc", "east.jsonc", "new.jsonc"), facts)
+	require.NoError(t, bad.Err())
+	require.Len(t, d.Servers, 3)
+	for name, c := range map[string]struct {
+		files []serverlist.File
+		want  string
+	}{
+		"a part that is missing": {files(good, "hub.jsonc"), "d/manifest.jsonc:3:10: east.jsonc is not there"},
+		"a part of another time": {
+			[]serverlist.File{good, {Name: "d/hub.jsonc", Data: parts["hub.jsonc"]}, {Name: "d/east.jsonc", Data: parts["new.jsonc"]}},
+			fmt.Sprintf("d/manifest.jsonc:3:34: east.jsonc has the hash %x: it is not the part that was meant", sha256Head(parts["new.jsonc"])),
+		},
+		"no manifest":         {files(good, "hub.jsonc", "east.jsonc")[1:], "d:1:1: 2 files and no manifest.jsonc to bind them"},
+		"a part twice":        {files(manifest(3, parts, "hub.jsonc", "hub.jsonc"), "hub.jsonc"), "d/manifest.jsonc:3:10: hub.jsonc is named twice"},
+		"a path out of there": {files(manifest(3, parts, "../hub.jsonc"), "hub.jsonc"), "d/manifest.jsonc:2:10: \"../hub.jsonc\" is no part of this directory"},
+		"an id in two parts":  {files(manifest(3, parts, "hub.jsonc", "east.jsonc", "new.jsonc"), "hub.jsonc", "east.jsonc", "new.jsonc"), "d/new.jsonc:2:8: id s-00000001 is that of d/east.jsonc:2:1 too\nd/new.jsonc:2:30: cache1.example.org:4100 is the address of s-00000001 at d/east.jsonc:2:1 too"},
+	} {
+		_, bad := serverlist.Parse(c.files, facts)
+		require.EqualError(t, bad.Err(), c.want, name)
+	}
+}
+
+func sha256Head(b []byte) []byte { s := sha256.Sum256(b); return s[:6] }
+
+// A list written over another one byte by byte, with or without truncation, is never taken half way.
+func TestWrittenInPlace(t *testing.T) {
+	before, after := list(7, origin, east1, east2), list(8, origin, east1, east3)
+	old, bad := take(before, nil)
+	require.Empty(t, bad)
+	for i := range len(after) {
+		if set, bad := take(after[:i], old); bad == "" {
+			t.Fatalf("cut at %d: %v", i, set)
+		}
+		// Past the last digit only what both share is left to write.
+		if i < len(before) && after[:i]+before[i:] != after {
+			if set, bad := take(after[:i]+before[i:], old); bad == "" {
+				require.Same(t, old, set, "%d", i)
+			}
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(list(1, origin, east1, east2, west4)))
+	f.Add([]byte(list(1, origin, with(east1, "cache1.example.org", "[::1%lo]"))))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d, bad := serverlist.Parse([]serverlist.File{{Name: "l", Data: text}}, facts)
+		require.Equal(t, bad == nil, d != nil)
+		if d != nil {
+			_, _ = d.Settle(answers, nil)
+		}
+	})
+}
+
+// 10,000 servers in one list.
+func large(n int) []serverlist.File {
+	entries := []string{origin, east1}
+	for i := range n {
+		entries = append(entries, fmt.Sprintf(`{"id": "s-%08x", "addr": "127.1.%d.%d:4100", "zone": "east", "kind": "small", "weight": 4}`, 100+i, i/250, i%250+1))
+	}
+	return []serverlist.File{{Name: "l", Data: []byte(list(1, entries...))}}
+}
+
+func BenchmarkParse10k(b *testing.B) {
+	files := large(10_000)
+	known := map[string]serverlist.Answer{}
+	d, bad := serverlist.Parse(files, facts)
+	require.NoError(b, bad.Err())
+	for _, h := range d.Hosts() {
+		known[h] = serverlist.Answer{Addrs: []string{h}}
+	}
+	b.SetBytes(int64(len(files[0].Data)))
+	b.ReportAllocs()
+	for b.Loop() {
+		d, _ := serverlist.Parse(files, facts)
+		if _, bad := d.Settle(known, nil); bad != nil {
+			b.Fatal(bad)
+		}
+	}
+}
