--- a/internal/decide/membership/model_test.go
+++ b/internal/decide/membership/model_test.go
@@ -1,10 +1,8 @@
 package membership_test
 
 import (
-	"flag"
 	"fmt"
 	"maps"
-	"os"
 	"slices"
 	"testing"
 
@@ -12,18 +10,11 @@
 	"pgregory.net/rapid"
 
 	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/scenario/seeded"
 	"ravenwheel/policy"
 )
 
-// TestMain gives the properties a seed of their own, so that every run has the same verdict. "make soak" draws others.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" && os.Getenv("SOAK") == "" {
-		_ = flag.Set("rapid.seed", "7")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 const dropDrain, goneFor = 1000.0, 5000.0
 
--- a/internal/decide/membership/text_test.go
+++ b/internal/decide/membership/text_test.go
@@ -42,7 +42,7 @@
 			fmt.Fprintf(&got, "%s%s\n", comment, command)
 			if command == "new" {
 				l, err = membership.New(membership.Settings{
-					Sources: []membership.Source{{Name: "file", SilentAfter: 30_000}, {Name: "board", Direct: true}},
+					Sources:   []membership.Source{{Name: "file", SilentAfter: 30_000}, {Name: "board", Direct: true}},
 					DropDrain: 10_000, GoneFor: 60_000, WeightStep: 2, WeightEvery: 1000,
 				})
 				require.NoError(t, err)
--- a/internal/decide/strict/strict.go
+++ b/internal/decide/strict/strict.go
@@ -7,6 +7,7 @@
 package strict
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"math"
@@ -15,6 +16,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -65,6 +67,8 @@
 const (
 	MostBytes = 32 << 20
 	mostDepth = 32
+	// mostMembers of an object: names are compared in pairs.
+	mostMembers = 1000
 	// mostDefects of one file are told; a broken generator makes thousands alike.
 	mostDefects = 100
 )
@@ -74,16 +78,16 @@
 	File    string
 	Defects Defects
 
-	raw    []byte
-	starts []int          // offsets of the starts of lines
-	places map[string]int // offset by path, as in servers[3].addr
-	more   int            // defects beyond mostDefects
+	starts []int        // offsets of the starts of lines
+	root   hujson.Value // places are looked up in it when they are asked for: few ever are
+	fields map[reflect.Type]map[string]int
+	more   int // defects beyond mostDefects
 }
 
 // Decode reads text into target, a pointer to a struct with json tags. A nil Doc is never returned: its Defects
 // say what can't be used, and Fail adds what the caller finds.
 func Decode(file string, text []byte, target any) *Doc {
-	d := &Doc{File: file, raw: text, places: map[string]int{}, starts: []int{0}}
+	d := &Doc{File: file, starts: []int{0}, fields: map[reflect.Type]map[string]int{}}
 	for i, b := range text {
 		if b == '\n' {
 			d.starts = append(d.starts, i+1)
@@ -106,7 +110,8 @@
 		d.syntax(err)
 		return d
 	}
-	d.value("", v, reflect.ValueOf(target).Elem())
+	d.root = v
+	d.value(&d.root, reflect.ValueOf(target).Elem())
 	return d
 }
 
@@ -160,12 +165,43 @@
 }
 
 // Has tells whether the text gives a value at this path.
-func (d *Doc) Has(path string) bool { _, ok := d.places[path]; return ok }
+func (d *Doc) Has(path string) bool { _, ok := d.find(path); return ok }
+
+// find is the offset of the value at a path, as in servers[3].addr.
+func (d *Doc) find(path string) (at int, ok bool) {
+	v, rest := &d.root, path
+	for rest != "" {
+		switch x := v.Value.(type) {
+		case *hujson.Object:
+			rest = strings.TrimPrefix(rest, ".")
+			i := slices.IndexFunc(x.Members, func(m hujson.ObjectMember) bool {
+				// A name may hold dots itself.
+				after, ok := strings.CutPrefix(rest, text(m.Name.Value.(hujson.Literal)))
+				return ok && (after == "" || after[0] == '.' || after[0] == '[')
+			})
+			if i < 0 {
+				return 0, false
+			}
+			rest = rest[len(text(x.Members[i].Name.Value.(hujson.Literal))):]
+			v = &x.Members[i].Value
+		case *hujson.Array:
+			number, after, _ := strings.Cut(strings.TrimPrefix(rest, "["), "]")
+			i, err := strconv.Atoi(number)
+			if err != nil || i < 0 || i >= len(x.Elements) {
+				return 0, false
+			}
+			v, rest = &x.Elements[i], after
+		default:
+			return 0, false
+		}
+	}
+	return v.StartOffset, v.Value != nil
+}
 
 // Fail adds a defect at the place of a path, or of the nearest value around it that the text holds.
 func (d *Doc) Fail(path, format string, args ...any) {
 	for p := path; ; {
-		if at, ok := d.places[p]; ok {
+		if at, ok := d.find(p); ok {
 			d.fail(at, fmt.Sprintf(format, args...))
 			return
 		}
@@ -179,7 +215,7 @@
 
 // Place is where the value of a path begins, as line:column; "" if the text holds none.
 func (d *Doc) Place(path string) string {
-	at, ok := d.places[path]
+	at, ok := d.find(path)
 	if !ok {
 		return ""
 	}
@@ -212,8 +248,7 @@
 }
 
 // value puts one parsed value into the target.
-func (d *Doc) value(path string, v hujson.Value, into reflect.Value) {
-	d.places[path] = v.StartOffset
+func (d *Doc) value(v *hujson.Value, into reflect.Value) {
 	if lit, ok := v.Value.(hujson.Literal); ok && lit.Kind() == 'n' {
 		if into.Kind() != reflect.Pointer && into.Kind() != reflect.Map && into.Kind() != reflect.Slice {
 			d.fail(v.StartOffset, "null is no value here")
@@ -225,26 +260,25 @@
 		if into.IsNil() {
 			into.Set(reflect.New(into.Type().Elem()))
 		}
-		d.value(path, v, into.Elem())
+		d.value(v, into.Elem())
 	case reflect.Struct:
 		if o, ok := v.Value.(*hujson.Object); ok {
-			d.object(path, o, into)
+			d.object(o, into)
 		} else {
 			d.wrong(v, "an object")
 		}
 	case reflect.Map:
 		o, ok := v.Value.(*hujson.Object)
-		if !ok {
-			d.wrong(v, "an object")
+		if !ok || len(o.Members) > mostMembers {
+			d.wrong(v, fmt.Sprintf("an object of at most %d fields", mostMembers))
 			return
 		}
 		into.Set(reflect.MakeMap(into.Type()))
-		for _, m := range d.members(o) {
-			name := m.Name.Value.(hujson.Literal).String()
+		d.members(o, func(name string, m *hujson.ObjectMember) {
 			item := reflect.New(into.Type().Elem()).Elem()
-			d.value(join(path, name), m.Value, item)
+			d.value(&m.Value, item)
 			into.SetMapIndex(reflect.ValueOf(name), item)
-		}
+		})
 	case reflect.Slice:
 		a, ok := v.Value.(*hujson.Array)
 		if !ok {
@@ -252,8 +286,8 @@
 			return
 		}
 		list := reflect.MakeSlice(into.Type(), len(a.Elements), len(a.Elements))
-		for i, e := range a.Elements {
-			d.value(path+"["+strconv.Itoa(i)+"]", e, list.Index(i))
+		for i := range a.Elements {
+			d.value(&a.Elements[i], list.Index(i))
 		}
 		into.Set(list)
 	default:
@@ -261,44 +295,54 @@
 	}
 }
 
-func join(path, name string) string {
-	if path == "" {
-		return name
+// text is what a quoted literal says. Most hold no escape, and reading one takes half the time of a large list.
+func text(lit hujson.Literal) string {
+	if bytes.IndexByte(lit, '\\') >= 0 || !utf8.Valid(lit) {
+		return lit.String()
 	}
-	return path + "." + name
+	return string(lit[1 : len(lit)-1])
 }
 
-// members are an object's, each name once.
-func (d *Doc) members(o *hujson.Object) []hujson.ObjectMember {
-	seen := make(map[string]bool, len(o.Members))
-	kept := make([]hujson.ObjectMember, 0, len(o.Members))
-	for _, m := range o.Members {
-		name := m.Name.Value.(hujson.Literal).String()
-		if seen[name] {
+// members calls f for an object's members, each name once.
+func (d *Doc) members(o *hujson.Object, f func(name string, m *hujson.ObjectMember)) {
+	for i := range o.Members {
+		m := &o.Members[i]
+		lit := m.Name.Value.(hujson.Literal)
+		twice := false
+		for j := range i { // objects are small, and a map for each would cost more
+			twice = twice || string(lit) == string(o.Members[j].Name.Value.(hujson.Literal))
+		}
+		if name := text(lit); bytes.IndexByte(lit, '\\') >= 0 {
+			d.fail(m.Name.StartOffset, "a name is written without escapes")
+		} else if twice {
 			d.fail(m.Name.StartOffset, fmt.Sprintf("%q is given twice", name))
-			continue
+		} else {
+			f(name, m)
 		}
-		seen[name] = true
-		kept = append(kept, m)
 	}
-	return kept
 }
 
-func (d *Doc) object(path string, o *hujson.Object, into reflect.Value) {
-	fields := fieldsOf(into.Type())
-	for _, m := range d.members(o) {
-		name := m.Name.Value.(hujson.Literal).String()
+func (d *Doc) object(o *hujson.Object, into reflect.Value) {
+	fields := d.fieldsOf(into.Type())
+	if len(o.Members) > mostMembers {
+		d.fail(o.Members[0].Name.StartOffset, fmt.Sprintf("more than %d fields", mostMembers))
+		return
+	}
+	d.members(o, func(name string, m *hujson.ObjectMember) {
 		i, ok := fields[name]
 		if !ok {
 			d.fail(m.Name.StartOffset, fmt.Sprintf("unknown field %q%s", name, suggest(name, fields)))
-			continue
+			return
 		}
-		d.value(join(path, name), m.Value, into.Field(i))
-	}
+		d.value(&m.Value, into.Field(i))
+	})
 }
 
 // fieldsOf maps the names in json tags to field numbers.
-func fieldsOf(t reflect.Type) map[string]int {
+func (d *Doc) fieldsOf(t reflect.Type) map[string]int {
+	if fields := d.fields[t]; fields != nil {
+		return fields
+	}
 	fields := make(map[string]int, t.NumField())
 	for i := range t.NumField() {
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
@@ -306,6 +350,7 @@
 			fields[name] = i
 		}
 	}
+	d.fields[t] = fields
 	return fields
 }
 
@@ -342,7 +387,7 @@
 	return a[i:] == b[i+1:]
 }
 
-func (d *Doc) scalar(v hujson.Value, into reflect.Value) {
+func (d *Doc) scalar(v *hujson.Value, into reflect.Value) {
 	lit, ok := v.Value.(hujson.Literal)
 	if !ok {
 		d.wrong(v, wants(into.Kind()))
@@ -354,7 +399,7 @@
 			d.wrong(v, "a text")
 			return
 		}
-		into.SetString(lit.String())
+		into.SetString(text(lit))
 	case reflect.Bool:
 		if lit.Kind() != 't' && lit.Kind() != 'f' {
 			d.wrong(v, "true or false")
@@ -399,7 +444,7 @@
 }
 
 // wrong says what was wanted in place of what stands there.
-func (d *Doc) wrong(v hujson.Value, want string) {
+func (d *Doc) wrong(v *hujson.Value, want string) {
 	is := "an object"
 	switch x := v.Value.(type) {
 	case *hujson.Array:
--- /dev/null
+++ b/internal/source/names/names_test.go
@@ -0,0 +1,121 @@
+package names_test
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/source/names"
+)
+
+// table is a resolver that answers from a table, and hangs, deaf to its context, where the table says so.
+type table struct {
+	mu    sync.Mutex
+	hosts map[string][]netip.Addr
+	hang  map[string]chan struct{}
+	asked map[string]int
+}
+
+func (r *table) LookupNetIP(_ context.Context, _, host string) ([]netip.Addr, error) {
+	r.mu.Lock()
+	r.asked[host]++
+	ips, hang := r.hosts[host], r.hang[host]
+	r.mu.Unlock()
+	if hang != nil {
+		<-hang
+	}
+	if ips == nil {
+		return nil, errors.New("no such host")
+	}
+	return ips, nil
+}
+
+func (r *table) set(host string, ips ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hosts[host] = nil
+	for _, ip := range ips {
+		r.hosts[host] = append(r.hosts[host], netip.MustParseAddr(ip))
+	}
+}
+
+func newCache() (*names.Cache, *table, *clock.Clock) {
+	r := &table{hosts: map[string][]netip.Addr{}, hang: map[string]chan struct{}{}, asked: map[string]int{}}
+	clk := clock.Manual(0)
+	return &names.Cache{Resolver: r, Clock: clk, TTL: 30_000, Timeout: 2000}, r, clk
+}
+
+func TestSpellings(t *testing.T) {
+	c, r, _ := newCache()
+	for host, want := range map[string]serverlist.Answer{
+		"127.0.0.1":                  {Addrs: []string{"127.0.0.1"}},
+		"::ffff:127.0.0.1":           {Addrs: []string{"127.0.0.1"}},
+		"0:0:0:0:0:0:0:1":            {Addrs: []string{"::1"}},
+		"127.1":                      {Err: "is no IPv4 address that all read alike"},
+		"127.0.0.01":                 {Err: "is no IPv4 address that all read alike"},
+		"0.0.0.0":                    {Err: "is the address of no machine"},
+		"fe80::1%lo":                 {Err: "has a zone index, which other machines do not share"},
+		"nosuchhost.example.invalid": {Err: "can't be resolved: no such host"},
+	} {
+		require.Equal(t, want, c.Answers([]string{host})[host], host)
+	}
+	require.Len(t, r.asked, 1, "literal addresses are asked of nobody")
+	require.True(t, names.Names([]string{"127.0.0.1", "a.example.org"}))
+	require.False(t, names.Names([]string{"127.0.0.1"}))
+}
+
+func TestLastGoodAnswer(t *testing.T) {
+	c, r, clk := newCache()
+	r.set("a", "127.0.0.1")
+	host := []string{"a"}
+	ask := func() serverlist.Answer { return c.Answers(host)["a"] }
+	good := serverlist.Answer{Addrs: []string{"127.0.0.1"}}
+	require.Equal(t, good, ask())
+	require.Equal(t, good, ask())
+	require.Equal(t, 1, r.asked["a"], "kept for its time")
+	clk.Advance(30_001)
+	r.set("a") // gone
+	require.Equal(t, good, ask(), "the last good answer is kept")
+	clk.Advance(2_001)
+	r.set("a", "127.0.0.2")
+	require.Equal(t, serverlist.Answer{Addrs: []string{"127.0.0.2"}}, ask(), "asked again soon after it failed")
+	c.Forget(nil)
+	r.set("a")
+	require.Equal(t, "can't be resolved: no such host", ask().Err)
+}
+
+// A resolver that hangs, whatever its context says, holds nobody up for longer than the time-out, and one look-up
+// for a name is out at the most.
+func TestHang(t *testing.T) {
+	c, r, clk := newCache()
+	end := make(chan struct{})
+	r.hang["h"] = end
+	r.set("h", "127.0.0.9")
+	r.set("a", "127.0.0.1")
+	for range 3 {
+		got := make(chan map[string]serverlist.Answer)
+		go func() { got <- c.Answers([]string{"h", "a"}) }()
+		var answers map[string]serverlist.Answer
+		for answers == nil {
+			select {
+			case answers = <-got:
+			case <-time.After(time.Millisecond):
+				clk.Advance(100)
+			}
+		}
+		require.Equal(t, "can't be resolved: no answer in 2000 ms", answers["h"].Err)
+		require.Equal(t, []string{"127.0.0.1"}, answers["a"].Addrs)
+	}
+	r.mu.Lock()
+	require.Equal(t, 1, r.asked["h"])
+	r.mu.Unlock()
+	close(end)
+	require.Eventually(t, func() bool { return len(c.Answers([]string{"h"})["h"].Addrs) == 1 }, time.Minute, time.Millisecond)
+}
