--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,9 +37,8 @@
 	trialEvery = 5 * time.Second
 	// rampFrom and rampPart: a cache or parent that is new or back gets this share of its objects at first,
 	// and all of them after this part of the time in which it is warm at the latest. A shorter ramp fills
-	// it sooner and spares the others; a longer one spares it.
-	rampFrom, rampPart = 0.1, 0.6
-	rampElse           = 10 * time.Second // where no warming time is told
+	// it sooner and spares the others; a longer one spares it. rampElse: where no warming time is told.
+	rampFrom, rampPart, rampElse = 0.1, 0.6, 10 * time.Second
 	// limitStart, limitLeast: attempts that all routers of the location let themselves have out at a cache,
 	// or fills on its link, at first and at least; each has its part. sourceStart, sourceLeast: the same for
 	// one router at a parent or the origin. limitShrink is what a late answer leaves of a limit; one in time
@@ -264,8 +263,7 @@
 		own = q.SizeKB / r.set.FlowKBPerS
 	}
 	aim := q.class.Target + time.Duration(q.class.AimStretch*own*float64(time.Second))
-	left := q.due - r.now
-	timeout := left
+	left, timeout := q.due-r.now, q.due-r.now
 	if trial != nil {
 		timeout = min(left/2, aim)
 		trial.trialOut, trial.trialAt = true, r.now+trialEvery
@@ -842,8 +840,8 @@
 	for _, m := range e.Entries {
 		t, known := r.known[m.ID]
 		if !known {
-			t = &target{limit: sourceStart}
-			r.known[m.ID] = t
+			t = &target{limit: sourceStart, hashed: mix(uint64(m.ID))}
+			r.known[m.ID], r.order = t, append(r.order, t)
 		}
 		started := m.Started > 0 && m.Started != t.Started
 		t.Member, t.listed = m, m.State != Gone
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -37,3 +37,22 @@
 		}
 	}
 }
+
+// BenchmarkOneOfTenThousand is a change of one member of a large fleet: it holds up every request meanwhile.
+func BenchmarkOneOfTenThousand(b *testing.B) {
+	r, err := New(Settings{Routers: 1, ParentKind: 1, OriginKind: 2, Classes: []Class{{Deadline: time.Second}}}, 7)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var list []Member
+	for id := range 10_000 {
+		list = append(list, Member{ID: CacheID(id), Zone: id % 20, Weight: 4})
+	}
+	r.Handle(1, Members{Kind: ListWhole, Entries: list}, nil)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		m := list[i*37%len(list)]
+		m.State = State(i % 3)
+		r.Handle(Time(i), Members{Entries: []Member{m}}, nil)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -122,6 +122,7 @@
 	token  uint64
 
 	known   map[CacheID]*target
+	order   []*target // all known, by id
 	caches  []*target // this location's, listed, by id
 	parents []*target // all listed, by id
 	origin  *target
@@ -196,22 +197,16 @@
 	a.to.out = without(a.to.out, a)
 }
 
-// relist sorts what is listed by role and id, so that nothing depends on the order of a map.
+// relist sorts what is listed by role and id, so that nothing depends on the order of a map. All but
+// newcomers are in order already: to sort a large fleet for each change would hold up the requests.
 func (r *Router) relist() {
-	r.caches, r.parents, r.origin = nil, nil, nil
-	ids := make([]CacheID, 0, len(r.known))
-	for id, t := range r.known {
-		t.hashed = mix(uint64(id))
-		if !t.listed && len(t.out) == 0 && t.fills == 0 {
-			delete(r.known, id) // or a fleet that replaces its machines would fill the memory
-			continue
-		}
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		t := r.known[id]
+	slices.SortFunc(r.order, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
+	r.caches, r.parents, r.origin = make([]*target, 0, len(r.caches)+1), nil, nil
+	r.order = slices.DeleteFunc(r.order, func(t *target) bool {
 		switch {
+		case !t.listed && len(t.out) == 0 && t.fills == 0:
+			delete(r.known, t.ID) // or a fleet that replaces its machines would fill the memory
+			return true
 		case !t.listed:
 		case t.role == edge:
 			r.caches = append(r.caches, t)
@@ -220,7 +215,8 @@
 		case t.role == origin && r.origin == nil:
 			r.origin = t
 		}
-	}
+		return false
+	})
 }
 
 // timer hands a due timer to what it was set for.
