--- a/cmd/ravenwheel/main.go
+++ b/cmd/ravenwheel/main.go
@@ -3,30 +3,48 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"ravenwheel/internal/decide/strict"
 )
 
-var version = "0.1.0"
+var version = "0.2.0"
 
 func main() {
 	root := &cobra.Command{
 		Use: "ravenwheel", Short: "A steering proxy in front of caches", SilenceUsage: true, SilenceErrors: true,
 		Args: cobra.NoArgs, RunE: serve, // plain run must serve
 	}
-	root.PersistentFlags().StringVar(&profile, "cpuprofile", "", "write a CPU profile of the first 20 s to this file")
-	root.PersistentFlags().StringVar(&operatorFile, "operator", "", "set up the signed front, the store and SNMP from this file")
+	flags := root.PersistentFlags()
+	flags.StringVar(&profile, "cpuprofile", "", "write a CPU profile of the first 20 s to this file")
+	flags.StringVar(&operatorFile, "operator", "", "the operator's file: what is off on the platform, or all there is to know")
+	flags.StringVar(&serversPath, "servers", "", "watch this server list in place of the one that the operator's file names")
 	root.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM", Args: cobra.NoArgs, RunE: serve},
-		&cobra.Command{Use: "check", Short: "Read the configuration and say whether it can be used", Args: cobra.NoArgs, RunE: check},
+		&cobra.Command{Use: "check", Short: "Read all that serve would and say whether it can be used", Args: cobra.NoArgs, RunE: check},
+		serversCommand(), configCommand(), purgeCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), "ravenwheel", version)
 		}},
 	)
 	if err := root.Execute(); err != nil {
+		fail(err)
+	}
+}
+
+// fail ends the program with one plain line, or with none where the defects were printed.
+func fail(err error) {
+	var bad strict.Defects
+	switch {
+	case errors.Is(err, errDefects):
+	case errors.As(err, &bad) && len(bad) > 1:
+		fmt.Fprintf(os.Stderr, "ravenwheel: %v (and %d more: see 'servers check' and 'config check')\n", bad[0], len(bad)-1)
+	default:
 		fmt.Fprintln(os.Stderr, "ravenwheel:", err)
-		os.Exit(1)
 	}
+	os.Exit(1)
 }
--- a/cmd/ravenwheel/operator.go
+++ b/cmd/ravenwheel/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"log"
 	"net"
 	"time"
 
@@ -10,6 +9,7 @@
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/front/signed"
+	"ravenwheel/internal/logs"
 	"ravenwheel/internal/snmp"
 	"ravenwheel/internal/store"
 	"ravenwheel/internal/upstream"
@@ -19,7 +19,7 @@
 var operatorFile string
 
 // startOperator starts what the operator's file sets up. stop ends it once what is open has been answered.
-func startOperator(o *config.Operator, clk *clock.Clock, c *core.Core, up *upstream.Pools) (stop func(context.Context), err error) {
+func startOperator(o *config.Operator, clk *clock.Clock, log *logs.Log, c *core.Core, up *upstream.Pools) (stop func(context.Context), err error) {
 	var ends []func(context.Context)
 	stop = func(ctx context.Context) {
 		for i := len(ends) - 1; i >= 0; i-- {
@@ -51,11 +51,7 @@
 		return nil, err
 	}
 	ends = append(ends, func(context.Context) { _ = st.Close() })
-	keys, err := o.Keys()
-	if err != nil {
-		return nil, err
-	}
-	go seed(st, keys)
+	go seed(st, o.Keys)
 	ln, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return nil, err
@@ -63,7 +59,7 @@
 	front := signed.New(signed.Options{Audience: s.Audience, Leeway: s.LeewayMs, Clock: clk, Store: st, Core: c})
 	go func() {
 		if err := front.Serve(ln); err != nil {
-			log.Print("signed front: ", err)
+			log.Error("signed").Err(err).Msg("the signed front is lost")
 		}
 	}()
 	ends = append(ends, func(ctx context.Context) { _ = front.Shutdown(ctx) })
@@ -71,7 +67,7 @@
 }
 
 // seed puts the file's keys into the store, as soon as it has a leader.
-func seed(st *store.Store, keys map[string]store.Key) {
+func seed(st *store.Store, keys config.KeyRing) {
 	for kid, k := range keys {
 		for st.PutKey(kid, k) != nil {
 			time.Sleep(100 * time.Millisecond)
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log"
 	"net"
 	"os"
 	"os/signal"
@@ -19,7 +18,7 @@
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/front/resp"
-	"ravenwheel/internal/source/board"
+	"ravenwheel/internal/logs"
 	"ravenwheel/internal/upstream"
 )
 
@@ -34,19 +33,30 @@
 	gcPercent = 400
 	// profileFor: a profile covers the start and some traffic, and is whole though SIGKILL follows.
 	profileFor = 20 * time.Second
-	// boardSilence: the board's frames come each second.
-	boardSilence, boardRedial = 2500 * time.Millisecond, 100 * time.Millisecond
 )
 
 // profile names the file that a CPU profile of the run is written to; empty: none.
 var profile string
 
-func check(cmd *cobra.Command, _ []string) error {
-	c, err := config.Load(os.Getenv)
+// read is what the program is started with: the operator's file, and the platform's where it does not stand alone.
+func read() (*config.Operator, *config.Config, error) {
+	o, err := config.LoadOperator(operatorFile)
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	if _, err := config.LoadOperator(operatorFile); err != nil {
+	if serversPath != "" {
+		if o.Servers == nil {
+			return nil, nil, fmt.Errorf("--servers: the operator's file sets up no servers")
+		}
+		o.Servers.Path = serversPath
+	}
+	conf, err := config.Read(os.Getenv, o)
+	return o, conf, err
+}
+
+func check(cmd *cobra.Command, _ []string) error {
+	_, c, err := read()
+	if err != nil {
 		return err
 	}
 	fmt.Fprintf(cmd.OutOrStdout(), "%s on %s: %d classes, %d events known\n", c.Name, c.Listen, len(c.Classes), len(c.Known))
@@ -54,11 +64,12 @@
 }
 
 func serve(*cobra.Command, []string) error {
-	conf, err := config.Load(os.Getenv)
+	operator, conf, err := read()
 	if err != nil {
 		return err
 	}
-	operator, err := config.LoadOperator(operatorFile)
+	clk := clock.System()
+	log, err := logs.New(os.Stderr, operator.LogOpt, clk)
 	if err != nil {
 		return err
 	}
@@ -79,7 +90,6 @@
 			f.Close()
 		})
 	}
-	clk := clock.System()
 	up := upstream.New(clk, upstream.Limits{
 		PerConn: conf.StreamsPerConn, Conns: min(mostConns, max(leastConns, conf.Sockets/connShare)), Connect: conf.Connect, Idle: conf.ConnIdle,
 	})
@@ -87,20 +97,19 @@
 	if err != nil {
 		return err
 	}
-	for _, n := range conf.Known {
-		c.Notice(n)
+	c.Log = func(text string) { log.Info("module").Msg(text) }
+	src, err := startSources(operator, conf, clk, log, c)
+	if err != nil {
+		return err
 	}
+	defer src.close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	follow := &board.Client{
-		Addr: conf.Board, Last: conf.Rev, Silence: boardSilence, Redial: boardRedial, Notice: c.Notice,
-	}
-	go follow.Run(context.Background()) // also while stopping: the rules go on
 	ln, err := net.Listen("tcp", conf.Listen)
 	if err != nil {
 		return err
 	}
-	stopOperator, err := startOperator(operator, clk, c, up)
+	stopOperator, err := startOperator(operator, clk, log, c, up)
 	if err != nil {
 		return err
 	}
@@ -109,7 +118,7 @@
 	go func() { failed <- front.Serve() }()
 	go func() {
 		for range reload { // also while stopping: the board may move then too
-			again(follow)
+			src.again(log)
 		}
 	}()
 	select {
@@ -121,18 +130,6 @@
 	return nil
 }
 
-// again reads the configuration anew. The notice board's address is followed; the rest takes a restart. A
-// file that can't be used leaves the old configuration in force.
-func again(follow *board.Client) {
-	conf, err := config.Load(os.Getenv)
-	if err != nil {
-		log.Print("reload: the old configuration stays: ", err)
-		return
-	}
-	follow.Move(conf.Board)
-	log.Print("reload: the notice board is at ", conf.Board)
-}
-
 // drain lets what is still on its way in come, then answers what is open.
 func drain(front *resp.Front, conf *config.Config, stopOperator func(context.Context)) {
 	end := time.Now().Add(longest(conf) + 700*time.Millisecond - stopMargin)
--- /dev/null
+++ b/internal/config/alone.go
@@ -0,0 +1,106 @@
+package config
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/decide/settle"
+	"ravenwheel/internal/source/board"
+	"ravenwheel/policy"
+)
+
+// Read is what a proxy is started with: from the platform, or from an operator's file that has "proxy".
+func Read(getenv func(string) string, o *Operator) (*Config, error) {
+	if o.Proxy == nil {
+		return Load(getenv)
+	}
+	return o.alone(), nil
+}
+
+// alone makes of a file that was checked what the platform would have told.
+func (o *Operator) alone() *Config {
+	p, l, s := o.Proxy, o.Limits, o.Site
+	c := &Config{
+		Name: p.Name, Listen: p.Listen, Seed: p.Seed, Cores: l.Cores, MemoryMB: l.MemoryMB, Sockets: l.Sockets,
+		Names: board.Names{Zones: s.Zones, Kinds: s.Kinds}, StreamsPerConn: l.StreamsPerConn, MostHeld: l.Requests,
+		ConnIdle: l.Idle, Connect: l.Connect,
+	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64()
+	}
+	ms := clock.Duration
+	fall := func(c *Cold) policy.Fall {
+		return policy.Fall{ColdFrom: c.From, WarmWithin: ms(c.WarmWithin), Multiple: c.Multiple, Within: ms(c.Within)}
+	}
+	set := policy.Settings{
+		Rank: p.Rank, Zone: slices.Index(s.Zones, p.Zone), ParentKind: slices.Index(s.Kinds, s.ParentKind),
+		OriginKind: slices.Index(s.Kinds, s.OriginKind), Details: policy.DetailAll, FlowKBPerS: s.Flow,
+		Siblings:   map[string]policy.Reach{"none": policy.ReachNone, "location": policy.ReachLocation, "any": policy.ReachAny}[s.Siblings],
+		PurgeTakes: ms(s.PurgeTakes), PurgeNotice: ms(s.PurgeGrace), DrainGrace: ms(s.DrainGrace),
+		CacheFall: fall(s.Cold), ParentFall: fall(s.ParentCold), AnswerSlack: ms(s.AnswerSlack), WeightsTold: true,
+		MaxTries: l.Tries, Cancel: true, Probes: true, SecondCopies: s.SecondCopy, RetryAfter: l.Backoff > 0,
+		MaxRetryAfter: ms(l.Backoff), ConnectWithin: ms(l.Connect),
+	}
+	for _, z := range s.Zones {
+		set.ZoneRouters = append(set.ZoneRouters, s.Proxies[z])
+		set.Routers += s.Proxies[z]
+		set.HomeHub = append(set.HomeHub, max(0, slices.Index(s.Zones, s.HomeHub[z])))
+		set.LinkKBPerS = append(set.LinkKBPerS, s.Links[z])
+	}
+	for _, k := range o.Classes {
+		c.Classes = append(c.Classes, k.Name)
+		set.Classes = append(set.Classes, policy.Class{
+			Target: ms(k.Target), AimStretch: k.Stretch, Deadline: ms(k.Deadline), Worth: k.Worth, LateValue: k.LateValue,
+			Effect: map[string]policy.Effect{"idempotent": policy.Safe, "deduplicated": policy.Keyed, "at_most_once": policy.Unsafe}[k.Effect],
+			Group:  map[string]policy.Group{"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupCell}[k.Group],
+			Window: ms(k.Window), Uncached: k.Uncached, InParts: k.InParts, Fresh: ms(k.Fresh), StaleFor: ms(k.Stale), StaleWorth: k.StaleWorth,
+		})
+	}
+	c.Settings = set
+	return c
+}
+
+// Facts are what lists of servers are held against.
+func (c *Config) Facts(mostDropped float64) serverlist.Facts {
+	name := func(i int) string {
+		if i < 0 || i >= len(c.Names.Kinds) {
+			return ""
+		}
+		return c.Names.Kinds[i]
+	}
+	f := serverlist.Facts{
+		Zones: c.Names.Zones, Kinds: c.Names.Kinds, ParentKind: name(c.Settings.ParentKind), OriginKind: name(c.Settings.OriginKind),
+		MostDropped: mostDropped,
+	}
+	for i, n := range c.Settings.ZoneRouters {
+		if n > 0 && i < len(c.Names.Zones) {
+			f.Clients = append(f.Clients, c.Names.Zones[i])
+		}
+	}
+	for _, k := range c.Settings.Classes {
+		f.Writes = f.Writes || k.Uncached
+	}
+	return f
+}
+
+// Entries are a list's servers as the ledger takes them.
+func (c *Config) Entries(set *serverlist.Set) []membership.Entry {
+	out := make([]membership.Entry, len(set.Servers))
+	for i, s := range set.Servers {
+		e := &out[i]
+		e.ID, e.Addr, e.Cell, e.Weight, e.Warm = s.ID, s.Addr, s.Cell, s.Weight, s.Warm
+		e.Zone, e.Kind = slices.Index(c.Names.Zones, s.Zone), slices.Index(c.Names.Kinds, s.Kind)
+		if e.Started = policy.Time(s.Started * 1e6); s.Draining {
+			e.State = policy.Draining
+		}
+	}
+	return out
+}
+
+// Settle are the figures of a watched list.
+func (s *Servers) Settle() settle.Settings {
+	return settle.Settings{Quiet: s.Quiet, Most: s.Most, Poll: s.Poll}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,7 +7,6 @@
 	"os"
 	"strconv"
 
-	"ravenwheel/internal/core"
 	"ravenwheel/internal/source/board"
 	"ravenwheel/policy"
 	"ravenwheel/wire"
@@ -22,7 +21,7 @@
 	Settings            policy.Settings
 	Classes             []string
 	Names               board.Names
-	Known               []core.Notice
+	Known               []board.Notice
 	Rev                 uint64
 
 	StreamsPerConn, MostHeld int
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"fmt"
-	"log"
 	"sync"
 	"sync/atomic"
 
 	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/invariant"
 	"ravenwheel/policy"
 )
@@ -90,11 +90,8 @@
 	Members(list []Member, whole bool)
 }
 
-// Member is an entry of the notice board's list, with its address.
-type Member struct {
-	policy.Member
-	Addr string
-}
+// Member is a cache server, with its address.
+type Member = membership.Member
 
 // Purge is a purge of an object or, with none named, of a group.
 type Purge struct {
@@ -103,14 +100,6 @@
 	At     float64 // Unix ms
 }
 
-// Notice is one event of the notice board.
-type Notice struct {
-	Rev     uint64
-	Whole   bool
-	Members []Member
-	Purge   *Purge
-}
-
 // Counters are what operators may read. They only rise, but for Open.
 type Counters struct {
 	Requests, Served, Refused, Failed, Gone, Attempts, Timeouts, Stale, Notices, Open atomic.Int64
@@ -125,6 +114,7 @@
 	mostHeld int
 	goodFor  float64 // ms for which a decision may wait for its first byte
 	Counters Counters
+	Log      func(text string) // takes the module's lines, if set before the first event
 
 	mu     sync.Mutex
 	router *policy.Router
@@ -345,21 +335,24 @@
 	})
 }
 
-// Notice takes in one event of the notice board.
-func (c *Core) Notice(n Notice) {
+// Purged takes in a purge that was told.
+func (c *Core) Purged(p Purge) {
 	c.Counters.Notices.Add(1)
-	if p := n.Purge; p != nil {
-		c.tell(policy.Purged{Object: p.Object, Group: p.Group, Age: clock.Duration(c.clock.Now() - p.At)})
-		return
-	}
-	e := policy.Members{Version: int64(n.Rev)}
-	if n.Whole {
+	c.tell(policy.Purged{Object: p.Object, Group: p.Group, Age: clock.Duration(c.clock.Now() - p.At)})
+}
+
+// Members takes in what the ledger publishes: first those who carry attempts, so that none is decided on for a server
+// that they don't know.
+func (c *Core) Members(p membership.Publish) {
+	c.Counters.Notices.Add(1)
+	e := policy.Members{Version: int64(p.Version)}
+	if p.Whole {
 		e.Kind = policy.ListWhole
 	}
-	for _, m := range n.Members {
+	for _, m := range p.Members {
 		e.Entries = append(e.Entries, m.Member)
 	}
-	c.up.Members(n.Members, n.Whole)
+	c.up.Members(p.Members, p.Whole)
 	c.tell(e)
 }
 
@@ -387,8 +380,8 @@
 		case policy.CloseIdle:
 			go c.up.CloseIdle(x.Cache)
 		case policy.Log:
-			if c.lines++; c.lines <= mostLines {
-				log.Print(x.Text)
+			if c.lines++; c.lines <= mostLines && c.Log != nil {
+				c.Log(x.Text)
 			}
 		}
 	}
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -8,6 +8,7 @@
 
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/invariant"
 	"ravenwheel/internal/scenario"
 )
@@ -100,7 +101,7 @@
 	require.NoError(t, err)
 	m := core.Member{Addr: p.Cache.Addr()}
 	m.ID = scenario.CacheID
-	small.Notice(core.Notice{Rev: 1, Whole: true, Members: []core.Member{m}})
+	small.Members(membership.Publish{Version: 1, Whole: true, Members: []core.Member{m}})
 	c := &asks{core: small, clock: p.Clock, ctx: context.Background(), out: make(chan []string, 10)}
 	scenario.Run(t, p.Clock, map[string]scenario.Actor{"c": c, "s": p.Cache}, `
 		c send r1 asset
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,83 @@
+// Package roster is the shell round the ledger of members (decide/membership): it brings the clock, takes the sources'
+// words in, and carries out what the ledger decides, in order and one word at a time.
+package roster
+
+import (
+	"sync"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/logs"
+)
+
+// Options set up a roster.
+type Options struct {
+	Ledger membership.Settings
+	Clock  *clock.Clock
+	Log    *logs.Log
+	// Publish gets what has changed, in order.
+	Publish func(membership.Publish)
+}
+
+// Roster holds the one ledger.
+type Roster struct {
+	opt Options
+
+	mu      sync.Mutex
+	ledger  *membership.Ledger
+	acts    []membership.Action
+	unset   func() // of the one timer
+	version uint64
+}
+
+// New returns an empty roster.
+func New(o Options) (*Roster, error) {
+	l, err := membership.New(o.Ledger)
+	if err != nil {
+		return nil, err
+	}
+	r := &Roster{opt: o, ledger: l, unset: func() {}}
+	return r, nil
+}
+
+// Views are all servers that the ledger remembers, and the version that is in use.
+func (r *Roster) Views() (views []membership.View, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.Views(), r.version
+}
+
+// Tell takes in what a source says.
+func (r *Roster) Tell(e membership.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.acts = r.ledger.Handle(r.opt.Clock.Now(), e, r.acts[:0])
+	first := r.version == 0
+	for _, a := range r.acts {
+		switch a := a.(type) {
+		case membership.Publish:
+			r.opt.Publish(a)
+			r.version = a.Version
+		case membership.Wake:
+			r.unset()
+			r.unset = r.opt.Clock.After(a.At-r.opt.Clock.Now(), func() { r.Tell(membership.Tick{}) })
+		case membership.Moved:
+			if !first { // at the start they come in hundreds, and nothing has happened to them
+				r.opt.Log.Debug("member").Uint64("id", uint64(a.Member.ID)).Str("addr", a.Member.Addr).
+					Stringer("from", a.From).Stringer("to", a.To).Str("why", a.Why).Msg("member moved")
+			}
+		case membership.Rejected:
+			r.opt.Log.Warn("source").Str("source", r.name(a.Source)).Uint64("generation", a.Generation).Str("why", a.Why).
+				Msg("list not taken")
+		case membership.Silence:
+			r.opt.Log.Warn("source").Str("source", r.name(a.Source)).Bool("silent", a.Silent).Msg("source silent, or heard again")
+		}
+	}
+}
+
+func (r *Roster) name(at int) string {
+	if at < 0 || at >= len(r.opt.Ledger.Sources) {
+		return "?"
+	}
+	return r.opt.Ledger.Sources[at].Name
+}
--- a/internal/scenario/proxy.go
+++ b/internal/scenario/proxy.go
@@ -8,6 +8,7 @@
 
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/upstream"
 	"ravenwheel/policy"
 )
@@ -52,7 +53,7 @@
 	for i, id := range []policy.CacheID{CacheID, ParentID, OriginID} {
 		list[i].ID, list[i].Kind, list[i].Weight = id, i, 10
 	}
-	p.Core.Notice(core.Notice{Rev: 1, Whole: true, Members: list})
+	p.Core.Members(membership.Publish{Version: 1, Whole: true, Members: list})
 	return p
 }
 
--- a/internal/source/board/board.go
+++ b/internal/source/board/board.go
@@ -16,9 +16,35 @@
 	"time"
 
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/membership"
 	"ravenwheel/policy"
 )
 
+// Notice is one event of the notice board: of the list, whole or in changes, or a purge.
+type Notice struct {
+	Rev     uint64
+	Whole   bool
+	Members []core.Member
+	Purge   *core.Purge
+}
+
+// Tell hands an event on: a list to the ledger, as what source at says, a purge to the core.
+func (n Notice) Tell(at int, tell func(membership.Event), purged func(core.Purge)) {
+	if n.Purge != nil {
+		purged(*n.Purge)
+		return
+	}
+	entries := make([]membership.Entry, len(n.Members))
+	for i, m := range n.Members {
+		entries[i].Member = m
+	}
+	if n.Whole {
+		tell(membership.List{Source: at, Generation: n.Rev, Entries: entries})
+	} else {
+		tell(membership.Changes{Source: at, Generation: n.Rev, Entries: entries})
+	}
+}
+
 // Names are the lists that text and numbers on the board point into.
 type Names struct{ Zones, Kinds []string }
 
@@ -47,7 +73,7 @@
 var stateNames = map[string]policy.State{"up": policy.Ready, "draining": policy.Draining, "removed": policy.Gone}
 
 // Known decodes the events of the start, and the number of the last one.
-func Known(raw []byte, names Names) (notices []core.Notice, last uint64, err error) {
+func Known(raw []byte, names Names) (notices []Notice, last uint64, err error) {
 	var known struct {
 		Rev     uint64
 		Notices []jsonNotice
@@ -56,7 +82,7 @@
 		return nil, 0, fmt.Errorf("known: %w", err)
 	}
 	for i, j := range known.Notices {
-		n := core.Notice{Rev: j.Rev}
+		n := Notice{Rev: j.Rev}
 		if p := j.Pool; p != nil {
 			n.Whole = p.Reset || i == 0
 			for _, m := range p.Instances {
@@ -120,7 +146,7 @@
 var errFrame = errors.New("board: a frame can't be read")
 
 // readFrame reads one frame.
-func readFrame(r io.Reader) (n core.Notice, kind byte, err error) {
+func readFrame(r io.Reader) (n Notice, kind byte, err error) {
 	var head [13]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return n, 0, err
@@ -176,7 +202,8 @@
 	Last    uint64        // number of the last event known
 	Silence time.Duration // frames come every second: after so much silence the connection is broken
 	Redial  time.Duration // pause between connections
-	Notice  func(core.Notice)
+	Notice  func(Notice)
+	Heard   func() // a frame came that tells nothing new; may be nil
 
 	mu    sync.Mutex
 	leave context.CancelFunc // ends the connection of now
@@ -232,6 +259,9 @@
 		if err != nil {
 			return
 		}
+		if kind == kindNothing && c.Heard != nil {
+			c.Heard()
+		}
 		if kind == kindNothing || n.Rev <= c.Last {
 			continue
 		}
--- a/internal/source/board/board_test.go
+++ b/internal/source/board/board_test.go
@@ -28,10 +28,10 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
-	got := make(chan core.Notice, 10)
+	got := make(chan Notice, 10)
 	c := Client{
 		Addr: ln.Addr().String(), Last: 4, Silence: 2 * time.Second, Redial: time.Millisecond,
-		Notice: func(n core.Notice) { got <- n },
+		Notice: func(n Notice) { got <- n },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -47,7 +47,7 @@
 	nc := accept(4)
 	_, err = nc.Write(append(frame(5, kindGroup, group(17, 1000)...), frame(5, kindGroup, group(17, 1000)...)...))
 	require.NoError(t, err)
-	require.Equal(t, core.Notice{Rev: 5, Purge: &core.Purge{Group: 17, At: 1001}}, <-got)
+	require.Equal(t, Notice{Rev: 5, Purge: &core.Purge{Group: 17, At: 1001}}, <-got)
 	nc = accept(5) // silence ended the first connection
 	_, err = nc.Write(frame(6, kindObject, 1, 2, 3))
 	require.NoError(t, err)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -34,7 +34,10 @@
 }
 
 // Peer is a member: where it speaks raft, and where it takes changes from the others.
-type Peer struct{ Raft, Apply string }
+type Peer struct {
+	Raft  string `json:"raft"`
+	Apply string `json:"apply"`
+}
 
 // Options open a store.
 type Options struct {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,12 +3,15 @@
 package upstream
 
 import (
+	"encoding/binary"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	iradix "github.com/hashicorp/go-immutable-radix/v2"
+
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
 	"ravenwheel/policy"
@@ -30,8 +33,9 @@
 	probes atomic.Uint64
 	Late   atomic.Int64 // answers that came after their attempt was over
 
-	mu    sync.Mutex
-	pools map[policy.CacheID]*pool
+	// pools are found without a lock, by attempts that come by the thousand; a list is put in place whole.
+	pools atomic.Pointer[iradix.Tree[*pool]]
+	mu    sync.Mutex // of Members
 }
 
 // pool is the connections to one cache server at one address.
@@ -49,47 +53,51 @@
 	if l.Dial == nil {
 		l.Dial = net.DialTimeout
 	}
-	return &Pools{clock: c, limits: l, pools: map[policy.CacheID]*pool{}}
+	p := &Pools{clock: c, limits: l}
+	p.pools.Store(iradix.New[*pool]())
+	return p
 }
 
+func key(id policy.CacheID) []byte { return binary.BigEndian.AppendUint64(nil, uint64(id)) }
+
 // Members tells where cache servers are. One that is gone, or has moved, loses its idle connections; what
 // is out on the others runs on.
 func (p *Pools) Members(list []core.Member, whole bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	t := p.pools.Load().Txn()
 	var left []*pool
-	drop := func(id policy.CacheID) {
-		if old := p.pools[id]; old != nil {
-			left = append(left, old)
-			delete(p.pools, id)
-		}
-	}
 	listed := map[policy.CacheID]bool{}
 	for _, m := range list {
 		listed[m.ID] = m.State != policy.Gone
-		if old := p.pools[m.ID]; m.State == policy.Gone || old != nil && old.addr != m.Addr {
-			drop(m.ID)
+		old, _ := t.Get(key(m.ID))
+		if old != nil && (m.State == policy.Gone || old.addr != m.Addr) {
+			left = append(left, old)
+			t.Delete(key(m.ID))
+			old = nil
 		}
-		if m.State != policy.Gone && p.pools[m.ID] == nil {
-			p.pools[m.ID] = &pool{all: p, addr: m.Addr}
+		if m.State != policy.Gone && old == nil {
+			t.Insert(key(m.ID), &pool{all: p, addr: m.Addr})
 		}
 	}
 	if whole {
-		for id := range p.pools {
-			if !listed[id] {
-				drop(id)
+		p.pools.Load().Root().Walk(func(k []byte, old *pool) bool {
+			if !listed[policy.CacheID(binary.BigEndian.Uint64(k))] {
+				left = append(left, old)
+				t.Delete(k)
 			}
-		}
+			return false
+		})
 	}
+	p.pools.Store(t.Commit())
 	for _, old := range left {
 		go old.closeIdle()
 	}
 }
 
 func (p *Pools) pool(id policy.CacheID) *pool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.pools[id]
+	pl, _ := p.pools.Load().Get(key(id))
+	return pl
 }
 
 // CloseIdle closes the idle connections to a cache server.
@@ -101,13 +109,12 @@
 
 // Conns is the number of connections held.
 func (p *Pools) Conns() (n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, pl := range p.pools {
+	p.pools.Load().Root().Walk(func(_ []byte, pl *pool) bool {
 		pl.mu.Lock()
 		n += len(pl.conns)
 		pl.mu.Unlock()
-	}
+		return false
+	})
 	return n
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -13,6 +13,7 @@
 
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/invariant"
 	"ravenwheel/internal/scenario"
 	"ravenwheel/internal/upstream"
@@ -127,7 +128,7 @@
 	scenario.Run(t, p.Clock, actors, strings.ReplaceAll(five, "\n\t", "\n"))
 	m := core.Member{Addr: next.Addr()}
 	m.ID = scenario.CacheID
-	p.Core.Notice(core.Notice{Rev: 2, Members: []core.Member{m}})
+	p.Core.Members(membership.Publish{Version: 2, Members: []core.Member{m}})
 	scenario.Run(t, p.Clock, actors, `
 		up send r6
 		next expect fetch r6 * -
