--- /dev/null
+++ b/cmd/ravenlab/main.go
@@ -0,0 +1,124 @@
+// Command ravenlab is the workbench beside the proxy: stand-in servers, clients and demonstrations, all on loopback.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/lab/demo"
+	"ravenwheel/internal/lab/fleet"
+	"ravenwheel/internal/lab/load"
+	"ravenwheel/internal/source/names"
+	"ravenwheel/internal/source/watch"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := &cobra.Command{Use: "ravenlab", Short: "Stand-ins, load and experiments for ravenwheel", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(fleetCommand(), loadCommand(), demoCommand())
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "ravenlab:", err)
+		os.Exit(1)
+	}
+}
+
+func fleetCommand() *cobra.Command {
+	o := fleet.Options{Clock: clock.System()}
+	cmd := &cobra.Command{
+		Use: "fleet LIST", Short: "Stand in for the servers of a list, at its addresses, until SIGTERM", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			set, err := watch.Load(args[0], serverlist.Facts{ParentKind: "parent", OriginKind: "origin"}, &names.Cache{Clock: o.Clock})
+			if err != nil {
+				return err
+			}
+			f := fleet.New(o)
+			defer f.Close()
+			if err := f.StartList(set, "parent", "origin"); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%d servers listen\n", len(set.Servers))
+			<-cmd.Context().Done()
+			return nil
+		},
+	}
+	cmd.Flags().Float64Var(&o.Serve, "serve-ms", 4, "time of a transfer")
+	cmd.Flags().Float64Var(&o.Fill, "fill-ms", 25, "how much longer one takes that must be fetched")
+	cmd.Flags().Float64Var(&o.PurgeTakes, "purge-takes-ms", 6000, "time after which copies that were purged are dropped")
+	cmd.Flags().IntVar(&o.Held, "held", 4096, "copies that a cache or parent holds")
+	return cmd
+}
+
+// standardClasses are those of deploy/standalone.jsonc.
+var standardClasses = []load.Class{
+	{Name: "replay", Share: 0.53, Budget: 5000, Parts: 12}, {Name: "asset", Share: 0.44, Budget: 2500, Parts: 1},
+	{Name: "seat-claim", Share: 0.03, Budget: 3000, Write: true, Parts: 1},
+}
+
+func loadCommand() *cobra.Command {
+	o := load.Options{Clock: clock.System(), Classes: standardClasses}
+	var perS, seconds float64
+	cmd := &cobra.Command{
+		Use: "load", Short: "Send traffic to a proxy for a while and say what became of it", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c := load.New(o)
+			defer c.Close()
+			tick := time.NewTicker(time.Duration(float64(time.Second) / perS))
+			defer tick.Stop()
+			end := time.After(time.Duration(seconds * float64(time.Second)))
+			for run := true; run; {
+				select {
+				case <-tick.C:
+					c.Ask()
+				case <-end:
+					run = false
+				case <-cmd.Context().Done():
+					run = false
+				}
+			}
+			c.Wait()
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', tabwriter.AlignRight)
+			fmt.Fprintln(w, "class\tasked\tserved\trefused\tfailed\tlost\tp50 ms\tp99 ms\t")
+			sums := c.Sums()
+			for _, k := range o.Classes {
+				s := sums[k.Name]
+				fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", k.Name, s.Asked, s.Served, s.Refused, s.Failed, s.Lost,
+					float64(s.Took.ValueAtQuantile(50))/1000, float64(s.Took.ValueAtQuantile(99))/1000)
+			}
+			_ = w.Flush()
+			for _, x := range c.Wrong() {
+				fmt.Fprintln(cmd.OutOrStdout(), "wrong:", x)
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&o.Addr, "addr", "127.0.20.100:4100", "the proxy's address")
+	cmd.Flags().Float64Var(&perS, "per-s", 150, "requests a second")
+	cmd.Flags().Float64Var(&seconds, "seconds", 10, "for how long")
+	cmd.Flags().IntVar(&o.Conns, "conns", 8, "connections")
+	cmd.Flags().IntVar(&o.Objects, "objects", 400, "objects to draw from")
+	cmd.Flags().IntVar(&o.Retries, "retries", 3, "of a request that was refused")
+	cmd.Flags().Uint64Var(&o.Seed, "seed", 7, "of what is drawn")
+	return cmd
+}
+
+func demoCommand() *cobra.Command {
+	o := demo.Options{Out: os.Stdout}
+	cmd := &cobra.Command{
+		Use: "demo", Short: "Run a proxy on stand-ins and switch its server list under traffic", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return demo.Run(cmd.Context(), o) },
+	}
+	cmd.Flags().StringVar(&o.Proxy, "proxy", "bin/ravenwheel", "the program")
+	cmd.Flags().StringVar(&o.Operator, "operator", "deploy/standalone.jsonc", "its file, which stands alone")
+	cmd.Flags().Float64Var(&o.PerS, "per-s", 150, "requests a second")
+	return cmd
+}
--- a/internal/decide/serverlist/parse.go
+++ b/internal/decide/serverlist/parse.go
@@ -124,11 +124,11 @@
 	Addr    string  `json:"addr"`
 	Zone    string  `json:"zone"`
 	Kind    string  `json:"kind"`
-	Cell    int     `json:"cell"`
-	State   string  `json:"state"` // ready (or absent) or draining
+	Cell    int     `json:"cell,omitempty"`
+	State   string  `json:"state,omitempty"` // ready (or absent) or draining
 	Weight  float64 `json:"weight"`
-	Started float64 `json:"started_ms"`
-	Warm    bool    `json:"warm"`
+	Started float64 `json:"started_ms,omitempty"`
+	Warm    bool    `json:"warm,omitempty"`
 }
 
 // Parse reads one list file, or a manifest and its parts (any file named manifest.jsonc makes it that).
