--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
-.PHONY: build test race lint run
+.PHONY: build test race lint run demo soak fuzz bench
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
+# The whole proxy on stand-ins, its server list switched under traffic: about 16 s, on loopback alone.
+demo: build
+	bin/ravenlab demo
+
 test:
 	go test -count=1 ./...
 	go test -count=1 -tags debug ./internal/...
@@ -13,6 +17,18 @@
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./... && go vet -tags debug ./...
+	.ci/pure
 
 run: build
 	exec bin/ravenwheel serve
+
+# Properties over histories drawn anew, and the fuzzers; not part of CI.
+soak:
+	SOAK=1 go test -count=1 ./internal/decide/membership ./internal/decide/settle -rapid.checks=20000 -run 'Model|Any'
+
+fuzz:
+	go test ./internal/decide/strict -run XXX -fuzz FuzzDecode -fuzztime 60s
+	go test ./internal/decide/serverlist -run XXX -fuzz FuzzParse -fuzztime 60s
+
+bench:
+	go test -run XXX -bench . -benchmem ./policy ./internal/...
--- /dev/null
+++ b/cmd/ravenwheel/lists_test.go
@@ -0,0 +1,273 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/config"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/front/resp"
+	"ravenwheel/internal/invariant"
+	"ravenwheel/internal/lab/fleet"
+	"ravenwheel/internal/lab/load"
+	"ravenwheel/internal/upstream"
+	"ravenwheel/policy"
+)
+
+const operatorText = `{
+  "proxy": {"name": "t", "listen": "127.0.0.1:1", "zone": "east", "seed": 7},
+  "limits": {"sockets": 1024, "tries": 8},
+  "site": {
+    "zones": ["hub", "east"], "proxies": {"east": 1}, "kinds": ["small", "parent", "origin"],
+    "parent_kind": "parent", "origin_kind": "origin", "flow_kb_per_s": 6000
+  },
+  "classes": [
+    {"name": "replay", "target_ms": 400, "deadline_ms": 5000, "worth": 2, "in_parts": true},
+    {"name": "asset", "target_ms": 400, "deadline_ms": 2500},
+    {"name": "seat-claim", "target_ms": 600, "deadline_ms": 3000, "worth": 3, "effect": "at_most_once", "uncached": true}
+  ],
+  "servers": {"path": "servers.jsonc", "quiet_ms": 30, "poll_ms": 500, "drain_ms": 3000, "most_dropped": 1, "weight_every_ms": 100}
+}`
+
+// rig is the whole program but for its process: real sockets and files under a clock that the test moves.
+type rig struct {
+	t      *testing.T
+	clk    *clock.Clock
+	path   string
+	fleet  *fleet.Fleet
+	client *load.Client
+	src    *sources
+	core   *core.Core
+
+	mu   sync.Mutex
+	used []use // every list that was in use, with the time from which it was
+}
+
+type use struct {
+	at    float64
+	ready map[policy.CacheID]bool
+}
+
+func entryText(id policy.CacheID, addr string, more string) string {
+	kind, zone := "small", "east"
+	switch {
+	case id == 20:
+		kind, zone = "origin", "hub"
+	case id >= 10 && id < 20:
+		kind, zone = "parent", "hub"
+	}
+	return fmt.Sprintf(`{"id": "%s", "addr": "%s", "zone": "%s", "kind": "%s"%s}`, serverlist.Name(id), addr, zone, kind, more)
+}
+
+func listText(generation int, entries []string) string {
+	return fmt.Sprintf("{\"generation\": %d, \"servers\": [\n%s\n],\n\"end\": %[1]d}", generation, strings.Join(entries, ",\n"))
+}
+
+func newRig(t *testing.T, first string) *rig {
+	r := &rig{t: t, clk: clock.Manual(1_764_576_000_000)}
+	dir := t.TempDir()
+	r.path = filepath.Join(dir, "servers.jsonc")
+	r.fleet = fleet.New(fleet.Options{Clock: r.clk, Serve: 5, Fill: 20, PurgeTakes: 6000})
+	t.Cleanup(r.fleet.Close)
+	for id := range policy.CacheID(100) {
+		role := fleet.Cache
+		switch {
+		case id == 20:
+			role = fleet.Origin
+		case id >= 10 && id < 20:
+			role = fleet.Parent
+		}
+		if id >= 1 && id <= 8 || id == 10 || id == 11 || id == 20 || id >= 90 && id <= 93 {
+			_, err := r.fleet.Start(id, role, "127.0.0.1:0")
+			require.NoError(t, err)
+		}
+	}
+	o, err := config.ParseOperator(filepath.Join(dir, "operator.jsonc"), []byte(operatorText))
+	require.NoError(t, err)
+	conf, err := config.Read(os.Getenv, o)
+	require.NoError(t, err)
+	up := upstream.New(r.clk, upstream.Limits{PerConn: 32, Conns: 4, Connect: 5000, Idle: 60_000})
+	r.core, err = core.New(conf.Settings, conf.Classes, conf.MostHeld, conf.Seed, r.clk, up)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(r.path, []byte(r.fill(first)), 0o600))
+	r.src, err = startSources(o, conf, r.clk, nil, r.core)
+	require.NoError(t, err)
+	t.Cleanup(r.src.close)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	front := resp.New(ln, 500, r.clk, r.core)
+	go func() { _ = front.Serve() }()
+	t.Cleanup(func() { _ = front.Close() })
+	r.client = load.New(load.Options{
+		Addr: ln.Addr().String(), Clock: r.clk, Seed: 7, Conns: 4, Objects: 60, Retries: 3, Classes: []load.Class{
+			{Name: "replay", Share: 5, Budget: 5000, Parts: 4}, {Name: "asset", Share: 4, Budget: 2500, Parts: 1},
+			{Name: "seat-claim", Share: 1, Budget: 3000, Write: true, Parts: 1},
+		},
+	})
+	t.Cleanup(r.client.Close)
+	return r
+}
+
+// fill puts the stand-ins' addresses where a text names them as @ID.
+func (r *rig) fill(text string) string {
+	for _, id := range []policy.CacheID{90, 91, 92, 93, 10, 11, 20, 1, 2, 3, 4, 5, 6, 7, 8} {
+		text = strings.ReplaceAll(text, fmt.Sprintf("\"@%d\"", id), `"`+r.fleet.Server(id).Addr()+`"`)
+	}
+	return text
+}
+
+// run lets time pass in small steps, with real time for the sockets in between.
+func (r *rig) run(ms float64) {
+	for end := r.clk.Now() + ms; r.clk.Now() < end; {
+		r.clk.Advance(10)
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// quiet lets time pass until no request is open and the list's generation is the one awaited.
+func (r *rig) quiet(generation uint64) {
+	r.t.Helper()
+	for end := time.Now().Add(time.Minute); r.client.Open() > 0 || r.src.list.Status().Generation != generation; r.run(10) {
+		require.True(r.t, time.Now().Before(end), "open %d, list %+v", r.client.Open(), r.src.list.Status())
+	}
+}
+
+// note writes down which servers are ready in a list that was taken.
+func (r *rig) note(at float64, ids []policy.CacheID) {
+	u := use{at: at, ready: map[policy.CacheID]bool{}}
+	for _, id := range ids {
+		u.ready[id] = true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.used = append(r.used, u)
+}
+
+// drainSlack: the clock of the test jumps while a request is in the kernel, so that it seems to come late.
+const drainGrace, drainSlack = 2000, 3000
+
+// check holds what the servers and the clients saw against the lists that were in use.
+func (r *rig) check() {
+	r.t.Helper()
+	var told []fleet.Told
+	for i, u := range r.used {
+		one := fleet.Told{At: u.at}
+		for id := policy.CacheID(1); id <= 20; id++ {
+			if u.ready[id] {
+				one.Returns = append(one.Returns, id)
+			} else if i > 0 {
+				one.Drains = append(one.Drains, id)
+			}
+		}
+		told = append(told, one)
+	}
+	require.Empty(r.t, fleet.Rules{Drain: drainGrace, Purge: 1000, Slack: drainSlack}.Broken(r.fleet.Seen(), told))
+	for _, s := range r.fleet.Seen() {
+		require.Less(r.t, s.Server, policy.CacheID(90), "a server that only invalid lists name got %s", s.ID)
+		whole := slices.ContainsFunc(r.used, func(u use) bool {
+			return u.at <= s.At && u.ready[s.Server] && (s.Source == s.Server || u.ready[s.Source])
+		})
+		require.True(r.t, whole, "request %s went to %d with source %d, which no list holds together", s.ID, s.Server, s.Source)
+	}
+	require.Empty(r.t, r.fleet.RanTwice())
+	require.Empty(r.t, r.client.Wrong())
+	require.Zero(r.t, invariant.Broken())
+	for name, s := range r.client.Sums() {
+		require.Equal(r.t, s.Asked, s.Served, "%s: %+v", name, s)
+	}
+}
+
+// TestListsInRapidTurns writes broken, partial and valid lists in rapid turns, by writers of every habit, while
+// clients ask. No request may go by a list that is mixed or invalid, no write may be lost or run twice, and no server
+// may get new work after it drains.
+func TestListsInRapidTurns(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	caches := []policy.CacheID{1, 2, 3, 4, 5, 6, 7, 8}
+	first := []policy.CacheID{1, 2, 3, 10, 11, 20}
+	text := func(generation int, ids []policy.CacheID, drained ...policy.CacheID) string {
+		var lines []string
+		for _, id := range append(slices.Clone(ids), drained...) {
+			more := fmt.Sprintf(`, "weight": %d`, 4+rng.IntN(8))
+			if slices.Contains(drained, id) {
+				more += `, "state": "draining"`
+			}
+			lines = append(lines, entryText(id, fmt.Sprintf("@%d", id), more))
+		}
+		return listText(generation, lines)
+	}
+	r := newRig(t, text(1, first))
+	r.note(r.clk.Now(), first)
+	generation := 1
+	for turn := range 240 {
+		for range 3 {
+			r.client.Ask()
+		}
+		perm := rng.Perm(len(caches))
+		n := 1 + rng.IntN(4)
+		ids := []policy.CacheID{20, 10}
+		if rng.IntN(2) == 0 {
+			ids = append(ids, 11)
+		}
+		for _, i := range perm[:n] {
+			ids = append(ids, caches[i])
+		}
+		drained := caches[perm[n]]
+		next := r.fill(text(generation+1, ids, drained))
+		poison := r.fill(text(generation+1, []policy.CacheID{90, 91, 20, 10}))
+		old, err := os.ReadFile(r.path)
+		require.NoError(t, err)
+		put := func(s string) { require.NoError(t, os.WriteFile(r.path, []byte(s), 0o600)) }
+		switch turn % 8 {
+		case 0: // cut short
+			put(poison[:len(poison)*rng.IntN(100)/100])
+		case 1: // one address twice
+			put(strings.Replace(poison, r.fleet.Server(91).Addr(), r.fleet.Server(90).Addr(), 1))
+		case 2: // torn: a new beginning before the end of another list
+			put(strings.Replace(poison, fmt.Sprintf(`"end": %d`, generation+1), fmt.Sprintf(`"end": %d`, generation), 1))
+		case 3: // no cache, and an older generation
+			put(strings.Replace(poison, fmt.Sprintf(`"generation": %d`, generation+1), `"generation": 0`, 1))
+		case 4: // in place, in steps, with a stall
+			f, err := os.OpenFile(r.path, os.O_WRONLY|os.O_TRUNC, 0)
+			require.NoError(t, err)
+			for i := range len(next) {
+				_, err := f.WriteString(next[i : i+1])
+				require.NoError(t, err)
+				if i == len(next)/2 {
+					r.run(100)
+				}
+			}
+			require.NoError(t, f.Close())
+		case 5, 6: // with care
+			require.NoError(t, os.WriteFile(r.path+".new", []byte(next), 0o600))
+			require.NoError(t, os.Rename(r.path+".new", r.path))
+		case 7: // the directory loses it for a while, and gets it back
+			require.NoError(t, os.Remove(r.path))
+			r.run(50)
+			put(string(old))
+		}
+		if turn%8 < 4 || turn%8 == 7 {
+			r.run(float64(20 + rng.IntN(120)))
+			continue
+		}
+		taken := r.clk.Now()
+		r.quiet(uint64(generation + 1))
+		generation++
+		r.note(taken, ids) // from its rename on it may have been in use
+	}
+	r.quiet(uint64(generation))
+	r.check()
+	require.Greater(t, len(r.used), 80)
+	require.Greater(t, r.fleet.Ran(), 20)
+}
--- a/cmd/ravenwheel/servers.go
+++ b/cmd/ravenwheel/servers.go
@@ -69,8 +69,8 @@
 	return conf.Facts(o.Servers.MostDropped), nil
 }
 
-// load reads one list. Its defects are an error that lists them.
-func load(path string, old *serverlist.Set, facts serverlist.Facts) (*serverlist.Set, error) {
+// readList reads one list. Its defects are an error that lists them.
+func readList(path string, old *serverlist.Set, facts serverlist.Facts) (*serverlist.Set, error) {
 	files, err := watch.Read(path)
 	if err != nil {
 		return nil, strict.Defects{{File: path, Reason: err.Error()}}
@@ -94,7 +94,7 @@
 	}
 	failed := false
 	for _, path := range paths {
-		set, err := load(path, nil, facts)
+		set, err := readList(path, nil, facts)
 		if err != nil {
 			failed = true
 			fmt.Fprintln(cmd.OutOrStdout(), err)
@@ -113,10 +113,10 @@
 	if err != nil {
 		return err
 	}
-	old, err := load(paths[0], nil, facts)
+	old, err := readList(paths[0], nil, facts)
 	var next *serverlist.Set
 	if err == nil {
-		next, err = load(paths[1], old, facts)
+		next, err = readList(paths[1], old, facts)
 	}
 	if err != nil {
 		fmt.Fprintln(cmd.OutOrStdout(), err)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -213,7 +213,7 @@
 		*v = usual
 	}
 	if *v < least || *v > most {
-		c.doc.Fail(c.at(field), "%s %v is not %v to %v", field, *v, least, most)
+		c.doc.Fail(c.at(field), "%s %.10g is not %.10g to %.10g", field, *v, least, most)
 	}
 }
 
@@ -236,7 +236,7 @@
 
 func (c checker) oneOf(field, value string, words ...string) {
 	if !slices.Contains(words, value) {
-		c.doc.Fail(c.at(field), "%s %q is none of %s", field, value, strings.Join(words, ", "))
+		c.doc.Fail(c.at(field), "%s %q is none of %s", field, value, strings.TrimPrefix(strings.Join(words, ", "), ", "))
 	}
 }
 
--- /dev/null
+++ b/internal/config/operator_test.go
@@ -0,0 +1,114 @@
+package config_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/config"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/policy"
+)
+
+func example(t *testing.T) string {
+	raw, err := os.ReadFile("../../deploy/standalone.jsonc")
+	require.NoError(t, err)
+	return string(raw)
+}
+
+// The file that the README starts with tells all that the platform would.
+func TestExamples(t *testing.T) {
+	o, err := config.LoadOperator("../../deploy/standalone.jsonc")
+	require.NoError(t, err)
+	c, err := config.Read(func(string) string { return "" }, o)
+	require.NoError(t, err)
+	require.Equal(t, []string{"replay", "asset", "seat-claim"}, c.Classes)
+	require.Equal(t, policy.Unsafe, c.Settings.Classes[2].Effect)
+	require.Equal(t, 2, c.Settings.Zone)
+	require.Equal(t, 2, c.Settings.ParentKind)
+	require.Equal(t, 2, c.Settings.Routers)
+	require.NotZero(t, c.Seed)
+	raw, err := os.ReadFile("../../deploy/servers.example.jsonc")
+	require.NoError(t, err)
+	d, bad := serverlist.Parse([]serverlist.File{{Name: "l", Data: raw}}, c.Facts(0.34))
+	require.NoError(t, bad.Err())
+	answers := map[string]serverlist.Answer{}
+	for _, h := range d.Hosts() {
+		answers[h] = serverlist.Answer{Addrs: []string{h}}
+	}
+	set, bad := d.Settle(answers, nil)
+	require.NoError(t, bad.Err())
+	again, bad := serverlist.Parse([]serverlist.File{{Name: "l", Data: serverlist.Format(set)}}, c.Facts(0.34))
+	require.NoError(t, bad.Err())
+	written, bad := again.Settle(answers, set)
+	require.NoError(t, bad.Err())
+	require.Same(t, set, written, "what is written reads as the same list")
+	entries := c.Entries(set)
+	require.Equal(t, policy.Draining, entries[4].State)
+	require.Equal(t, 3, entries[4].Zone)
+
+	raw, err = os.ReadFile("../../deploy/operator.example.jsonc")
+	require.NoError(t, err)
+	_, err = config.ParseOperator("o", raw)
+	require.EqualError(t, err, `o:10:42: key "2026-12" is not base64`, "its key must be filled in, and nothing else")
+	_, err = config.ParseOperator("o", []byte(strings.Replace(string(raw), `"key": ""`, `"key": "eA=="`, 1)))
+	require.NoError(t, err)
+	o, err = config.LoadOperator("")
+	require.NoError(t, err)
+	_, err = config.Read(func(string) string { return "" }, o)
+	require.EqualError(t, err, "LB_CONFIG is not set")
+	_, err = config.LoadOperator(filepath.Join(t.TempDir(), "none"))
+	require.Error(t, err)
+}
+
+// Each change of the example is refused with these lines.
+func TestRefused(t *testing.T) {
+	text := example(t)
+	for _, c := range []struct{ from, to, want string }{
+		{`"listen": "127.0.20.100:4100"`, `"listen": "localhost:4100"`, `o:9:15: listen "localhost:4100" is not of the form 127.0.0.1:4100`},
+		{`"zone": "bangkok"`, `"zone": "bangkock"`, `o:10:13: unknown zone "bangkock"`},
+		{`"sockets": 1024`, `"sockets": 3`, "o:16:16: sockets 3 is not 32 to 1048576"},
+		{`"tries": 8`, `"trys": 8`, `o:18:5: unknown field "trys"`},
+		{`"chiang-mai": "north-hub"`, `"chiang-mai": "west-hub"`, `o:25:56: unknown zone "west-hub"`},
+		{`"proxies": {"bangkok": 1,`, `"proxies": {`, `o:26:16: zone "bangkok" has this proxy, and proxies counts none there`},
+		{`"origin_kind": "origin"`, `"origin_kind": "parent"`, "o:29:20: parents and the origin are of kinds of their own"},
+		{`"siblings": "location"`, `"siblings": "all"`, `o:31:17: siblings "all" is none of none, location, any`},
+		{`"stretch": 2, `, `"stretch": -2, `, "o:39:52: stretch -2 is not 0 to 1000"},
+		{`"name": "asset"`, `"name": "replay"`, `o:39:14: class "replay" is empty, named twice or can't be written in a field`},
+		{`"effect": "at_most_once"`, `"effect": "once"`, `o:41:89: effect "once" is none of idempotent, deduplicated, at_most_once`},
+		{`"uncached": true}`, `"uncached": true, "fresh_ms": 5}`, "o:41:135: an uncached class keeps nothing that could be fresh"},
+		{`"most_dropped": 0.34`, `"most_dropped": 34`, "o:50:21: most_dropped 34 is not 0 to 1"},
+		{`"listen": "127.0.20.100:4101"`, `"listen": "10.0.0.1:4101"`, `o:54:23: listen "10.0.0.1:4101" is not on loopback`},
+		{`"level": "info"`, `"level": "loud"`, `o:56:20: level "loud" is none of debug, info, warn, error`},
+		{`"proxy": {`, `"proxie": {`, `o:7:3: unknown field "proxie"`},
+		{`"servers": {`, `"admin": {`, `o:54:3: "admin" is given twice`},
+	} {
+		require.Contains(t, text, c.from)
+		_, err := config.ParseOperator("o", []byte(strings.Replace(text, c.from, c.to, 1)))
+		if assert.Error(t, err, c.to) {
+			assert.Contains(t, err.Error(), c.want, c.to)
+		}
+	}
+	_, err := config.ParseOperator("o", []byte(`{"limits": {}, "proxy": {"name": "x"}}`))
+	require.Equal(t, "o:1:25: proxy needs classes: the program is to run without the platform\n"+
+		"o:1:25: proxy needs servers: there is no notice board to tell them\n"+
+		"o:1:25: proxy needs site: the program is to run without the platform", sorted(err))
+	_, err = config.ParseOperator("o", []byte(`{"limits": {}}`))
+	require.EqualError(t, err, "o:1:12: limits goes with proxy: without it the platform tells this")
+}
+
+func sorted(err error) string {
+	lines := strings.Split(err.Error(), "\n")
+	for i := range lines {
+		for j := range i {
+			if lines[i] < lines[j] {
+				lines[i], lines[j] = lines[j], lines[i]
+			}
+		}
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,112 @@
+package roster_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/roster"
+	"ravenwheel/internal/upstream"
+	"ravenwheel/policy"
+)
+
+func entries(n int) []membership.Entry {
+	out := make([]membership.Entry, n)
+	for i := range out {
+		out[i].ID, out[i].Addr = policy.CacheID(i+1), fmt.Sprintf("127.1.%d.%d:4100", i/250, i%250+1)
+		out[i].Zone, out[i].Weight = i%20, 4
+	}
+	return out
+}
+
+func settings() membership.Settings {
+	return membership.Settings{Sources: []membership.Source{{Name: "file"}}, DropDrain: 1000, GoneFor: 1000, WeightStep: 2, WeightEvery: 100}
+}
+
+// What is due comes by the clock, in order, and each change is published once.
+func TestWakes(t *testing.T) {
+	clk := clock.Manual(1000)
+	var got []string
+	r, err := roster.New(roster.Options{Ledger: settings(), Clock: clk, Publish: func(p membership.Publish) {
+		for _, m := range p.Members {
+			got = append(got, fmt.Sprint(clk.Now(), " ", m.ID, " ", m.State, " ", m.Weight))
+		}
+	}})
+	require.NoError(t, err)
+	list := entries(2)
+	r.Tell(membership.List{Generation: 1, Entries: list})
+	list[1].Weight = 10
+	r.Tell(membership.List{Generation: 2, Entries: list[1:]})
+	clk.Advance(5000)
+	require.Equal(t, []string{"1000 1 0 4", "1000 2 0 4", "1000 1 1 4", "1000 2 0 8", "1100 2 0 10", "2000 1 2 4"}, got)
+	views, version := r.Views()
+	require.Len(t, views, 1, "the one that is gone is forgotten")
+	require.EqualValues(t, 4, version)
+}
+
+// Sources that tell at once, and the clock with them: the ledger hears one at a time, and publishes in order.
+func TestManyTellers(t *testing.T) {
+	clk := clock.Manual(0)
+	var last uint64
+	set := settings()
+	set.Sources = append(set.Sources, membership.Source{Name: "board", Direct: true})
+	r, err := roster.New(roster.Options{Ledger: set, Clock: clk, Publish: func(p membership.Publish) {
+		require.Equal(t, last+1, p.Version)
+		last = p.Version
+	}})
+	require.NoError(t, err)
+	var wait sync.WaitGroup
+	for at := range 2 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for n := range 200 {
+				r.Tell(membership.List{Source: at, Generation: uint64(n + 1), Entries: entries(5)[n%3:]})
+			}
+		}()
+	}
+	for range 100 {
+		clk.Advance(50)
+	}
+	wait.Wait()
+}
+
+// newCore is a core with its pools, of 10,000 members.
+func newCore(b *testing.B) (*roster.Roster, *core.Core, []membership.Entry) {
+	clk := clock.System()
+	up := upstream.New(clk, upstream.Limits{PerConn: 32, Conns: 4})
+	c, err := core.New(policy.Settings{Routers: 1, ParentKind: 1, OriginKind: 2, Classes: []policy.Class{{Deadline: time.Second}}}, []string{"a"}, 0, 7, clk, up)
+	require.NoError(b, err)
+	r, err := roster.New(roster.Options{Ledger: settings(), Clock: clk, Publish: c.Members})
+	require.NoError(b, err)
+	list := entries(10_000)
+	r.Tell(membership.List{Generation: 1, Entries: list})
+	return r, c, list
+}
+
+// BenchmarkPublishChange is a change of one server in 10,000 by a source that tells changes: ledger, pools and module.
+func BenchmarkPublishChange(b *testing.B) {
+	r, _, list := newCore(b)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		e := list[i*37%len(list)]
+		e.State = policy.State(i % 2)
+		r.Tell(membership.Changes{Generation: uint64(i + 2), Entries: []membership.Entry{e}})
+	}
+}
+
+// BenchmarkPublishList is the same by a source that tells whole lists.
+func BenchmarkPublishList(b *testing.B) {
+	r, _, list := newCore(b)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		list[i*37%len(list)].State = policy.State(i % 2)
+		r.Tell(membership.List{Generation: uint64(i + 2), Entries: list})
+	}
+}
--- a/internal/source/watch/watch_test.go
+++ b/internal/source/watch/watch_test.go
@@ -1,8 +1,12 @@
 package watch_test
 
 import (
+	"bytes"
+	"context"
 	"crypto/sha256"
+	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -32,12 +36,14 @@
 	taken []uint64
 }
 
-func start(t *testing.T, path func(dir string) string) *rig {
+func start(t *testing.T, path func(dir string) string) *rig { return startWith(t, path, nil) }
+
+func startWith(t *testing.T, path func(dir string) string, n names.Resolver) *rig {
 	r := &rig{t: t, dir: t.TempDir(), clk: clock.Manual(0)}
 	r.path = path(r.dir)
 	r.src = watch.New(watch.Options{
 		Path: r.path, Facts: serverlist.Facts{OriginKind: "origin", Writes: true}, Clock: r.clk,
-		Settle: settle.Settings{Quiet: 100, Most: 1000, Poll: 2000}, Names: &names.Cache{Clock: r.clk, Timeout: 1000, TTL: 1e6},
+		Settle: settle.Settings{Quiet: 100, Most: 1000, Poll: 2000}, Names: &names.Cache{Resolver: n, Clock: r.clk, Timeout: 1000, TTL: 3000},
 		Take: func(s *serverlist.Set) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
@@ -293,3 +299,56 @@
 	_, err = watch.Load(filepath.Join(dir, "none"), serverlist.Facts{}, cache)
 	require.Error(t, err)
 }
+
+// table answers for names, and can be changed while a list is in use.
+type table struct {
+	mu    sync.Mutex
+	hosts map[string]string
+	hang  chan struct{}
+}
+
+func (n *table) LookupNetIP(_ context.Context, _, host string) ([]netip.Addr, error) {
+	n.mu.Lock()
+	ip, hang := n.hosts[host], n.hang
+	n.mu.Unlock()
+	if hang != nil {
+		<-hang
+	}
+	if ip == "" {
+		return nil, errors.New("no such host")
+	}
+	return []netip.Addr{netip.MustParseAddr(ip)}, nil
+}
+
+func (n *table) set(host, ip string, hang chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[host], n.hang = ip, hang
+}
+
+// A name that moves is followed; one that moves to an address which is listed already, or can't be answered any more,
+// leaves the last good list in force, and a resolver that hangs holds up no newer list without names.
+func TestNames(t *testing.T) {
+	n := &table{hosts: map[string]string{"a.example.org": "127.0.0.3"}}
+	r := startWith(t, inDir, n)
+	named := func(generation int) []byte {
+		return []byte(strings.Replace(string(list(generation, 1, 2)), "127.0.0.2:", "a.example.org:", 1))
+	}
+	r.over(r.path, named(1))
+	r.took(1)
+	n.set("a.example.org", "127.0.0.4", nil)
+	r.took(1) // the same list, at another address
+	n.set("a.example.org", "127.0.0.1", nil)
+	r.refuses("a.example.org is 127.0.0.1:4100, the address of s-00000001")
+	n.set("a.example.org", "", nil)
+	r.looked()
+	n.set("a.example.org", "127.0.0.5", nil)
+	r.took(1)
+	hang := make(chan struct{})
+	n.set("a.example.org", "127.0.0.6", hang)
+	r.over(r.path, bytes.ReplaceAll(named(2), []byte("a.example"), []byte("b.example")))
+	r.refuses("b.example.org can't be resolved: no answer in 1000 ms")
+	r.over(r.path, list(3, 1, 2))
+	r.took(3)
+	close(hang)
+}
