--- a/internal/decide/membership/ledger.go
+++ b/internal/decide/membership/ledger.go
@@ -153,7 +153,8 @@
 type source struct {
 	Source
 	generation uint64
-	told       bool // a list or a change came
+	told       bool   // a list or a change came
+	floor      uint64 // of the first generation: what was taken before a restart
 	heard      float64
 	silent     bool
 	listed     map[policy.CacheID]bool
@@ -169,6 +170,7 @@
 	facts  Member  // as they would be published, or were
 	told   bool    // published, and not as gone
 	direct bool    // its last word came from a direct source
+	before bool    // as it stood before a restart: why it drains is not known
 	holds  string  // the address that is its own
 	until  float64 // Draining: gone then, where no list names it; Gone: forgotten then
 	step   float64 // when its weight may change next
@@ -196,12 +198,15 @@
 	set     Settings
 	sources []*source
 	records map[policy.CacheID]*record
-	held    map[string]policy.CacheID              // who has an address
+	at      map[string]map[policy.CacheID]struct{} // who is in use or drains at an address
 	queue   map[string]map[policy.CacheID]struct{} // who waits for one
 	due     dues
 	wake    float64
 	version uint64
 	now     float64
+	// was is who was in use before a restart, and restored that this is known.
+	was      map[policy.CacheID]Member
+	restored bool
 
 	out     []Action
 	touched map[policy.CacheID]struct{}
@@ -219,7 +224,7 @@
 		}
 	}
 	l := &Ledger{
-		set: s, records: map[policy.CacheID]*record{}, held: map[string]policy.CacheID{},
+		set: s, records: map[policy.CacheID]*record{}, at: map[string]map[policy.CacheID]struct{}{},
 		queue: map[string]map[policy.CacheID]struct{}{}, touched: map[policy.CacheID]struct{}{},
 	}
 	for _, x := range s.Sources {
@@ -228,6 +233,44 @@
 	return l, nil
 }
 
+// Remembered is a server as it stood before a restart.
+type Remembered struct {
+	Member Member
+	Phase  Phase
+	Since  float64 // ms
+}
+
+// Restore has a new ledger take up where another one stood: who drained goes on draining, who was gone counts as gone,
+// and who was in use is no newcomer when a list names it. floors are the generations taken last, by source; nothing
+// below them is believed. It comes before the first event.
+func (l *Ledger) Restore(now float64, list []Remembered, floors map[int]uint64) {
+	l.now, l.restored, l.was = max(now, l.now), true, map[policy.CacheID]Member{}
+	for at, floor := range floors {
+		if at >= 0 && at < len(l.sources) {
+			l.sources[at].floor = floor
+		}
+	}
+	for _, x := range list {
+		m := x.Member
+		if x.Phase != Draining && x.Phase != Gone {
+			l.was[m.ID] = m
+			continue
+		}
+		r := &record{
+			id: m.ID, claims: make([]*claim, len(l.sources)), phase: x.Phase, since: min(x.Since, l.now),
+			why: "so before the restart", facts: m, before: true,
+		}
+		l.records[m.ID] = r
+		if x.Phase == Gone {
+			r.until = r.since + l.set.GoneFor
+		} else {
+			r.until = r.since + l.set.DropDrain
+			l.occupy(r, m.Addr)
+		}
+		l.later(r.until, m.ID)
+	}
+}
+
 // Handle takes one event at a time in ms and appends the actions that answer it to acts. Time never goes back: an
 // earlier one counts as the last.
 func (l *Ledger) Handle(now float64, e Event, acts []Action) []Action {
@@ -258,8 +301,8 @@
 	}
 	s := l.sources[at]
 	// Guards against a list that is older than what was taken: it would bring back what drains by now.
-	if s.told && generation <= s.generation {
-		l.do(Rejected{at, generation, fmt.Sprintf("generation %d is not above %d", generation, s.generation)})
+	if s.told && generation <= s.generation || generation < s.floor {
+		l.do(Rejected{at, generation, fmt.Sprintf("generation %d is not above %d", generation, max(s.generation, s.floor))})
 		return
 	}
 	seen := make(map[policy.CacheID]bool, len(entries))
@@ -324,8 +367,10 @@
 			c.guessed = true // another process
 		case old != nil:
 			c.Started, c.guessed = old.Started, old.guessed
-		case e.Warm || first || (r.phase == Ready || r.phase == Draining) && r.facts.Addr == e.Addr:
+		case e.Warm || first && !l.restored || (r.phase == Ready || r.phase == Draining && !r.before) && r.facts.Addr == e.Addr:
 			c.Started = r.facts.Started
+		case r.phase == None && l.was[e.ID].Addr == e.Addr:
+			c.Started = l.was[e.ID].Started // in use before the restart of this proxy
 		default:
 			c.guessed = true
 		}
@@ -409,14 +454,21 @@
 	case policy.Draining:
 		// A drain needs no address of its own: it runs where the server was used last.
 		m := c.Member
-		if r.told {
+		if r.told || r.before {
 			m.Addr = r.facts.Addr
 		}
 		l.move(r, Draining, m, why)
 	case policy.Ready:
-		if !r.direct && !l.hold(r, c) {
-			l.move(r, Joining, c.Member, fmt.Sprintf("%s is still held by server %d", c.Addr, l.held[c.Addr]))
-			return
+		if !r.direct {
+			if r.phase == Joining && l.now >= r.since+l.set.DropDrain {
+				l.vacate(r)
+			}
+			if other := l.inTheWay(r, c); other != nil {
+				book(l.queue, c.Addr, r.id)
+				l.later(max(l.now, r.since)+max(1, l.set.DropDrain), r.id)
+				l.move(r, Joining, c.Member, fmt.Sprintf("%s is still held by server %d", c.Addr, other.id))
+				return
+			}
 		}
 		if c.guessed && (r.phase != Ready || r.facts.Addr != c.Addr) {
 			c.Started = policy.Time(l.now * 1e6)
@@ -444,40 +496,66 @@
 	}
 }
 
-// hold gives a server the address that it is listed with, unless another one still has it. One that was started after
-// the other began to drain proves that the other is over: two processes can't listen at one address.
-func (l *Ledger) hold(r *record, c *claim) bool {
-	other := l.records[l.held[c.Addr]]
-	if other == nil || other == r {
-		return true
-	}
-	if other.phase == Draining && float64(c.said.Started)/1e6 > other.since {
-		if at, _, _ := other.word(); at < 0 {
-			l.move(other, Gone, other.facts, fmt.Sprintf("server %d was started at its address", r.id))
-			return true
+// inTheWay is another server that is in use or drains at the address that one is listed with; nil: there is none. One
+// that drains is over if the newcomer was started after it began to: two processes can't listen at one address.
+func (l *Ledger) inTheWay(r *record, c *claim) *record {
+	for {
+		first := policy.CacheID(0)
+		found := false
+		for id := range l.at[c.Addr] {
+			if id != r.id && (!found || id < first) {
+				first, found = id, true
+			}
 		}
+		if !found {
+			return nil
+		}
+		other := l.records[first]
+		if at, _, _ := other.word(); at >= 0 || other.phase != Draining || float64(c.said.Started)/1e6 <= other.since {
+			return other
+		}
+		l.move(other, Gone, other.facts, fmt.Sprintf("server %d was started at its address", r.id))
 	}
-	if l.queue[c.Addr] == nil {
-		l.queue[c.Addr] = map[policy.CacheID]struct{}{}
-	}
-	l.queue[c.Addr][r.id] = struct{}{}
-	return false
 }
 
-// free lets go of a server's address, and has those that waited for it looked at again.
-func (l *Ledger) free(r *record) {
-	if r.holds == "" || l.held[r.holds] != r.id {
-		r.holds = ""
+// occupy books a server at an address, and has those looked at again that waited for the one it leaves.
+func (l *Ledger) occupy(r *record, addr string) {
+	if r.holds == addr {
 		return
 	}
-	delete(l.held, r.holds)
-	for id := range l.queue[r.holds] {
-		if l.records[id] != nil {
-			l.touched[id] = struct{}{}
+	if left := r.holds; left != "" {
+		if delete(l.at[left], r.id); len(l.at[left]) == 0 {
+			delete(l.at, left)
 		}
+		for id := range l.queue[left] {
+			if l.records[id] != nil {
+				l.touched[id] = struct{}{}
+			}
+		}
+		delete(l.queue, left)
+	}
+	if r.holds = addr; addr != "" {
+		book(l.at, addr, r.id)
+	}
+}
+
+// vacate has a server that waits for an address let go of the one that it was in use at, its work there being over. Two
+// that swap their addresses would wait for one another for good.
+func (l *Ledger) vacate(r *record) {
+	l.occupy(r, "")
+	if r.before = false; r.told {
+		gone := r.facts
+		gone.State = policy.Gone
+		l.changed = append(l.changed, gone)
+		r.told = false
 	}
-	delete(l.queue, r.holds)
-	r.holds = ""
+}
+
+func book(m map[string]map[policy.CacheID]struct{}, addr string, id policy.CacheID) {
+	if m[addr] == nil {
+		m[addr] = map[policy.CacheID]struct{}{}
+	}
+	m[addr][id] = struct{}{}
 }
 
 // move takes a server to a phase with the facts that are to be published for it.
@@ -488,7 +566,7 @@
 	case Joining:
 		// Nothing new may go to where it was, if it was in use.
 		m.State = policy.Draining
-		if r.told {
+		if r.told || r.before {
 			m.Addr = was.Addr
 		}
 	case Ready:
@@ -503,20 +581,14 @@
 		r.step = 0
 	}
 	if from != to {
-		r.phase, r.since, r.why = to, l.now, why
+		r.phase, r.since, r.why, r.before = to, l.now, why, false
 		l.do(Moved{Member: m, From: from, To: to, Why: why})
 	}
-	switch to {
-	case Ready, Draining:
-		if r.holds != m.Addr && (to == Ready || from == None || from == Gone) {
-			l.free(r)
-			// A direct source may list two at one address: the first keeps it.
-			if _, taken := l.held[m.Addr]; !taken {
-				l.held[m.Addr], r.holds = r.id, m.Addr
-			}
-		}
-	case Gone:
-		l.free(r)
+	switch {
+	case to == Ready || to == Draining || to == Joining && (r.told || r.holds != ""):
+		l.occupy(r, m.Addr)
+	case to == Gone:
+		l.occupy(r, "")
 		r.until = l.now + l.set.GoneFor
 		l.later(r.until, r.id)
 	}
@@ -565,7 +637,7 @@
 		case r.phase == Gone && at < 0 && r.until <= l.now:
 			l.do(Moved{Member: r.facts, From: Gone, To: None, Why: "forgotten"})
 			delete(l.records, r.id)
-		case at < 0 || r.step > 0 && r.step <= l.now:
+		case at < 0 || r.step > 0 && r.step <= l.now || r.phase == Joining:
 			l.touched[r.id] = struct{}{}
 		}
 	}
--- /dev/null
+++ b/internal/decide/recovery/state.go
@@ -0,0 +1,355 @@
+// Package recovery decides what a restarted proxy may do until it knows. It owns the state that must survive a crash
+// (drains, goodbyes, purges that were told, the lists that were taken, the revision of the configuration), what of it
+// still binds, and the order of trust when the state and the sources disagree. It writes nothing and reads no clock:
+// events go in, and what is to be kept comes out as bytes. Its decisions are tested here.
+//
+// Trust, first to last: what a source says now under a later generation; what was kept; and of what is in neither,
+// nothing. An older or other list than the one kept is not believed, and a server that drained stays drained until a
+// later word says that it is back.
+package recovery
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/policy"
+)
+
+// Settings are the figures that say what still binds. Times are in ms.
+type Settings struct {
+	PurgeTakes float64 // after which no older copy is left anywhere
+	PurgeGrace float64
+	DropDrain  float64
+	GoneFor    float64
+}
+
+// Purge is one that was told.
+type Purge struct {
+	Object string  `cbor:"1,keyasint,omitempty"`
+	Group  int     `cbor:"2,keyasint,omitempty"` // with no object
+	Made   float64 `cbor:"3,keyasint"`           // Unix ms: copies made before are void
+	Told   float64 `cbor:"4,keyasint"`           // Unix ms
+}
+
+type purgeKey struct {
+	object string
+	group  int
+}
+
+func (p Purge) key() purgeKey {
+	if p.Object != "" {
+		return purgeKey{p.Object, -1}
+	}
+	return purgeKey{"", p.Group}
+}
+
+// Member is a server as it was published last.
+type Member struct {
+	ID      uint64           `cbor:"1,keyasint"`
+	Addr    string           `cbor:"2,keyasint"`
+	Zone    int              `cbor:"3,keyasint,omitempty"`
+	Kind    int              `cbor:"4,keyasint,omitempty"`
+	Cell    int              `cbor:"5,keyasint,omitempty"`
+	Weight  float64          `cbor:"6,keyasint,omitempty"`
+	Started float64          `cbor:"7,keyasint,omitempty"` // Unix ms
+	Phase   membership.Phase `cbor:"8,keyasint"`
+	Since   float64          `cbor:"9,keyasint"` // Unix ms
+}
+
+// List is one that was taken from a source.
+type List struct {
+	Source     string              `cbor:"1,keyasint"`
+	Generation uint64              `cbor:"2,keyasint"`
+	Servers    []serverlist.Server `cbor:"3,keyasint,omitempty"`
+}
+
+// Event is something that must survive. One field is set.
+type Event struct {
+	At       float64 `cbor:"1,keyasint"` // Unix ms
+	Purge    *Purge  `cbor:"2,keyasint,omitempty"`
+	Member   *Member `cbor:"3,keyasint,omitempty"`
+	List     *List   `cbor:"4,keyasint,omitempty"`
+	Revision uint64  `cbor:"5,keyasint,omitempty"` // of the configuration in use
+	Boot     bool    `cbor:"6,keyasint,omitempty"`
+}
+
+// form is the version of the bytes, in front of them. Later ones migrate what earlier ones wrote.
+const form = 1
+
+// State is what all events add up to.
+type State struct {
+	High     float64 // the latest time seen
+	Boots    int
+	Revision uint64
+	purges   map[purgeKey]Purge
+	members  map[uint64]Member
+	lists    map[string]List
+}
+
+// NewState returns one in which nothing happened.
+func NewState() *State {
+	return &State{purges: map[purgeKey]Purge{}, members: map[uint64]Member{}, lists: map[string]List{}}
+}
+
+// Of is a published member as an event.
+func Of(m membership.Member, at float64) Event {
+	phase := membership.Ready
+	switch m.State {
+	case policy.Draining:
+		phase = membership.Draining
+	case policy.Gone:
+		phase = membership.Gone
+	}
+	return Event{At: at, Member: &Member{
+		ID: uint64(m.ID), Addr: m.Addr, Zone: m.Zone, Kind: m.Kind, Cell: m.Cell, Weight: m.Weight,
+		Started: float64(m.Started) / 1e6, Phase: phase, Since: at,
+	}}
+}
+
+// Apply takes an event in.
+func (s *State) Apply(e Event) {
+	s.High = max(s.High, e.At)
+	switch {
+	case e.Purge != nil:
+		k := e.Purge.key()
+		old, known := s.purges[k]
+		p := *e.Purge
+		if known {
+			// A purge that is told twice binds from the later one, and voids what the later one does.
+			p.Made, p.Told = max(p.Made, old.Made), max(p.Told, old.Told)
+		}
+		s.purges[k] = p
+	case e.Member != nil:
+		m := *e.Member
+		// A drain counts from when it began, whatever else of the server changes meanwhile.
+		if old, known := s.members[m.ID]; known && old.Phase == m.Phase && m.Phase != membership.Gone {
+			m.Since = old.Since
+		}
+		s.members[m.ID] = m
+	case e.List != nil:
+		if old, known := s.lists[e.List.Source]; !known || e.List.Generation >= old.Generation {
+			s.lists[e.List.Source] = *e.List
+		}
+	case e.Revision > 0:
+		s.Revision = max(s.Revision, e.Revision)
+	case e.Boot:
+		s.Boots++
+	}
+}
+
+// until is when a purge can no longer bind: by then every older copy has been dropped, twice over, as one may have been
+// on its way when its source's went.
+func (p Purge) until(set Settings) float64 {
+	return max(p.Told, p.Made) + 2*set.PurgeTakes + set.PurgeGrace
+}
+
+// Prune drops what can no longer bind, and returns how much.
+func (s *State) Prune(now float64, set Settings) (dropped int) {
+	for k, p := range s.purges {
+		if p.until(set) < now {
+			delete(s.purges, k)
+			dropped++
+		}
+	}
+	for id, m := range s.members {
+		if m.Phase == membership.Gone && m.Since+set.GoneFor < now {
+			delete(s.members, id)
+			dropped++
+		}
+	}
+	return dropped
+}
+
+// Plan is what a proxy does before it takes its first request.
+type Plan struct {
+	Purges      []Purge // to be told to the module, oldest first
+	Remembered  []membership.Remembered
+	Lists       []List  // by source
+	SteppedBack float64 // ms by which the clock is behind what was seen; 0: it is not
+	Boots       int
+	Revision    uint64
+}
+
+// List finds the list of a source.
+func (p Plan) List(source string) (List, bool) {
+	for _, l := range p.Lists {
+		if l.Source == source {
+			return l, true
+		}
+	}
+	return List{}, false
+}
+
+// Plan says what a proxy that starts at a time has to heed. A clock that was stepped back must end no obligation early,
+// nor make one that began in what is now the future last for as long as the step: all such times count as now.
+func (s *State) Plan(now float64, set Settings) Plan {
+	p := Plan{Boots: s.Boots, Revision: s.Revision, SteppedBack: max(0, s.High-now)}
+	for _, x := range s.purges {
+		if x.until(set) < now {
+			continue
+		}
+		// Until its fate is known a purge is taken for one that has just been told: copies made before it are asked for
+		// by nobody, however long the proxy was away.
+		x.Made, x.Told = min(x.Made, now), now
+		p.Purges = append(p.Purges, x)
+	}
+	slices.SortFunc(p.Purges, func(a, b Purge) int {
+		return cmp.Or(cmp.Compare(a.Made, b.Made), cmp.Compare(a.Object, b.Object), a.Group-b.Group)
+	})
+	for _, m := range s.members {
+		if m.Phase == membership.Gone && m.Since+set.GoneFor < now {
+			continue
+		}
+		r := membership.Remembered{Phase: m.Phase, Since: min(m.Since, now)}
+		r.Member.ID, r.Member.Addr, r.Member.Zone, r.Member.Kind = policy.CacheID(m.ID), m.Addr, m.Zone, m.Kind
+		r.Member.Cell, r.Member.Weight, r.Member.Started = m.Cell, m.Weight, policy.Time(min(m.Started, now)*1e6)
+		p.Remembered = append(p.Remembered, r)
+	}
+	slices.SortFunc(p.Remembered, func(a, b membership.Remembered) int { return cmp.Compare(a.Member.ID, b.Member.ID) })
+	for _, l := range s.lists {
+		p.Lists = append(p.Lists, l)
+	}
+	slices.SortFunc(p.Lists, func(a, b List) int { return cmp.Compare(a.Source, b.Source) })
+	return p
+}
+
+// Sizes are how many obligations and lists are held.
+func (s *State) Sizes() (purges, members, lists int) {
+	return len(s.purges), len(s.members), len(s.lists)
+}
+
+// Purges are those that are held, oldest first, Members those by id.
+func (s *State) Purges() []Purge {
+	out := make([]Purge, 0, len(s.purges))
+	for _, p := range s.purges {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b Purge) int {
+		return cmp.Or(cmp.Compare(a.Told, b.Told), cmp.Compare(a.Object, b.Object), a.Group-b.Group)
+	})
+	return out
+}
+
+// Members are those that are held, by id.
+func (s *State) Members() []Member {
+	out := make([]Member, 0, len(s.members))
+	for _, m := range s.members {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Lists are those that are held, by source.
+func (s *State) Lists() []List { return s.Plan(math.Inf(1), Settings{}).Lists }
+
+// decoding bounds what bytes may claim.
+var decoding = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxMapPairs: 1 << 20, MaxNestedLevels: 8, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// encoding is the deterministic one of RFC 8949, section 4.2.
+var encoding = func() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// Encode writes an event: its form, then CBOR.
+func (e Event) Encode() ([]byte, error) { return encode(e) }
+
+func encode(v any) ([]byte, error) {
+	b, err := encoding.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("recovery: %w", err)
+	}
+	return append([]byte{form}, b...), nil
+}
+
+func decode(b []byte, v any) error {
+	if len(b) == 0 || b[0] != form {
+		return fmt.Errorf("recovery: a form that this version does not know")
+	}
+	if err := decoding.Unmarshal(b[1:], v); err != nil {
+		return fmt.Errorf("recovery: %w", err)
+	}
+	return nil
+}
+
+// DecodeEvent reads one.
+func DecodeEvent(b []byte) (e Event, err error) {
+	if err := decode(b, &e); err != nil {
+		return e, err
+	}
+	return e, e.check()
+}
+
+// check refuses what no proxy writes, and would spoil what is decided from it.
+func (e Event) check() error {
+	times := []float64{e.At}
+	if e.Purge != nil {
+		times = append(times, e.Purge.Made, e.Purge.Told)
+	}
+	if e.Member != nil {
+		times = append(times, e.Member.Since, e.Member.Started, e.Member.Weight)
+		if e.Member.Phase < membership.None || e.Member.Phase > membership.Gone {
+			return fmt.Errorf("recovery: no phase %d", int(e.Member.Phase))
+		}
+	}
+	for _, t := range times {
+		if math.IsNaN(t) || math.IsInf(t, 0) {
+			return fmt.Errorf("recovery: a time that is none")
+		}
+	}
+	return nil
+}
+
+// kept is a state as it is written.
+type kept struct {
+	High     float64  `cbor:"1,keyasint"`
+	Boots    int      `cbor:"2,keyasint"`
+	Revision uint64   `cbor:"3,keyasint"`
+	Purges   []Purge  `cbor:"4,keyasint"`
+	Members  []Member `cbor:"5,keyasint"`
+	Lists    []List   `cbor:"6,keyasint"`
+}
+
+// Encode writes all of it.
+func (s *State) Encode() ([]byte, error) {
+	return encode(kept{s.High, s.Boots, s.Revision, s.Purges(), s.Members(), s.Lists()})
+}
+
+// DecodeState reads what Encode wrote.
+func DecodeState(b []byte) (*State, error) {
+	var k kept
+	if err := decode(b, &k); err != nil {
+		return nil, err
+	}
+	s := NewState()
+	for i := range k.Purges {
+		s.Apply(Event{Purge: &k.Purges[i]})
+	}
+	for i := range k.Members {
+		if err := (Event{Member: &k.Members[i]}).check(); err != nil {
+			return nil, err
+		}
+		s.Apply(Event{Member: &k.Members[i]})
+	}
+	for i := range k.Lists {
+		s.Apply(Event{List: &k.Lists[i]})
+	}
+	s.High, s.Boots, s.Revision = k.High, k.Boots, k.Revision
+	return s, nil
+}
--- /dev/null
+++ b/internal/journal/vfs/vfs.go
@@ -0,0 +1,130 @@
+// Package vfs is the little of a file system that the journal needs, behind an interface, so that tests can break it at
+// every call. Disk is the real one; Sim is one in memory that loses what was not synced, tears and reorders writes,
+// runs full and fails.
+package vfs
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"golang.org/x/sys/unix"
+)
+
+// FS is a file system. Names are paths.
+type FS interface {
+	MkdirAll(dir string) error
+	// List returns the names in a directory, in order.
+	List(dir string) ([]string, error)
+	// Create makes a file, or empties the one that is there.
+	Create(name string) (File, error)
+	// Open opens a file that is there, to read and to append.
+	Open(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// SyncDir makes durable which names a directory holds.
+	SyncDir(dir string) error
+	// Lock takes a name for this process alone. It fails at once if another has it.
+	Lock(name string) (io.Closer, error)
+}
+
+// File is an open file. Write appends.
+type File interface {
+	io.Writer
+	io.ReaderAt
+	io.Closer
+	Size() (int64, error)
+	Truncate(size int64) error
+	Sync() error
+}
+
+// ErrLocked says that another process has the lock.
+var ErrLocked = errors.New("in use by another process")
+
+// Disk is the machine's file system.
+type Disk struct{}
+
+type diskFile struct{ *os.File }
+
+// Size implements File.
+func (f diskFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
+// MkdirAll implements FS.
+func (Disk) MkdirAll(dir string) error { return os.MkdirAll(dir, 0o700) }
+
+// List implements FS.
+func (Disk) List(dir string) (names []string, err error) {
+	entries, err := os.ReadDir(dir)
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	slices.Sort(names)
+	return names, err
+}
+
+// Create implements FS.
+func (Disk) Create(name string) (File, error) {
+	return open(name, os.O_RDWR|os.O_APPEND|os.O_CREATE|os.O_TRUNC)
+}
+
+// Open implements FS.
+func (Disk) Open(name string) (File, error) { return open(name, os.O_RDWR|os.O_APPEND) }
+
+func open(name string, flag int) (File, error) {
+	f, err := os.OpenFile(name, flag, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return diskFile{f}, nil
+}
+
+// Rename implements FS.
+func (Disk) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (Disk) Remove(name string) error { return os.Remove(name) }
+
+// SyncDir implements FS.
+func (Disk) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// Lock implements FS, by flock: a process that dies lets go of it.
+func (Disk) Lock(name string) (io.Closer, error) {
+	f, err := os.OpenFile(name, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
+		f.Close()
+		if errors.Is(err, unix.EWOULDBLOCK) {
+			err = ErrLocked
+		}
+		return nil, fmt.Errorf("%s: %w", filepath.Dir(name), err)
+	}
+	return f, nil
+}
+
+// Exists tells whether a name is there.
+func Exists(f FS, name string) (bool, error) {
+	names, err := f.List(filepath.Dir(name))
+	if errors.Is(err, fs.ErrNotExist) {
+		return false, nil
+	}
+	return slices.Contains(names, filepath.Base(name)), err
+}
--- /dev/null
+++ b/internal/source/watch/effect_test.go
@@ -0,0 +1,57 @@
+package watch_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/decide/settle"
+	"ravenwheel/internal/source/names"
+	"ravenwheel/internal/source/watch"
+	"ravenwheel/policy"
+)
+
+// BenchmarkRenameToEffect is the time from a rename to the list's being in use, on the machine's clock, for a list of
+// three servers and for one of 10,000.
+func BenchmarkRenameToEffect(b *testing.B) {
+	for _, c := range []struct {
+		servers int
+		quiet   float64
+	}{{3, 20}, {3, 200}, {10_000, 200}} {
+		b.Run(fmt.Sprintf("servers=%d/quiet=%.0fms", c.servers, c.quiet), func(b *testing.B) {
+			clk, took := clock.System(), hdrhistogram.New(1, 60_000_000, 3)
+			path := filepath.Join(b.TempDir(), "servers.jsonc")
+			text := func(generation int) []byte {
+				s := &serverlist.Set{Generation: uint64(generation)}
+				for i := range c.servers {
+					s.Servers = append(s.Servers, serverlist.Server{
+						ID: policy.CacheID(i + 1), Host: fmt.Sprintf("127.%d.%d.1", 1+i/250, i%250), Port: 4100, Zone: "east", Kind: "small", Weight: 4,
+					})
+				}
+				return serverlist.Format(s)
+			}
+			taken := make(chan uint64, 1)
+			src := watch.New(watch.Options{
+				Path: path, Clock: clk, Names: &names.Cache{Clock: clk, TTL: 1e6, Timeout: 1e4},
+				Settle: settle.Settings{Quiet: c.quiet, Most: 5000, Poll: 5000}, Take: func(s *serverlist.Set) { taken <- s.Generation },
+			}, nil)
+			go src.Run()
+			defer src.Close()
+			for i := 1; i <= b.N; i++ {
+				require.NoError(b, os.WriteFile(path+".new", text(i), 0o600))
+				began := clk.Now()
+				require.NoError(b, os.Rename(path+".new", path))
+				require.EqualValues(b, i, <-taken)
+				_ = took.RecordValue(int64((clk.Now() - began) * 1000))
+			}
+			b.ReportMetric(float64(took.ValueAtQuantile(50))/1000, "p50-ms")
+			b.ReportMetric(float64(took.ValueAtQuantile(99))/1000, "p99-ms")
+		})
+	}
+}
--- /dev/null
+++ b/internal/state/keeper.go
@@ -0,0 +1,317 @@
+// Package state is the shell round decide/recovery: it keeps what must survive a crash on a journal, gives it back at
+// the start, and prunes it in the background. It decides nothing, and is never on a request's path.
+package state
+
+import (
+	"errors"
+	"math/rand/v2"
+	"sync"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/decide/recovery"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/journal"
+	"ravenwheel/internal/journal/vfs"
+	"ravenwheel/internal/logs"
+)
+
+// Options set up a keeper.
+type Options struct {
+	Dir      string
+	FS       vfs.FS // nil: the machine's
+	Clock    *clock.Clock
+	Log      *logs.Log
+	Settings recovery.Settings
+	Delay    float64 // ms that a batch waits for more writers
+	Each     int     // records between snapshots; 0: 4096
+}
+
+const (
+	// usualEach records are replayed in a few milliseconds, and a snapshot costs as much as writing them again.
+	usualEach = 4096
+	// healAfter ms a journal that failed is opened anew, and at most healMost ms after the time before.
+	healAfter, healMost = 500, 30_000
+	// mostLost events wait for a journal to come back; more are dropped, oldest first, and said so.
+	mostLost = 65_536
+)
+
+// Keeper keeps the state of one proxy.
+type Keeper struct {
+	opt Options
+
+	mu         sync.Mutex
+	j          *journal.Journal // nil: failed, and not open again yet
+	state      *recovery.State  // of what is on disk
+	number     uint64           // of the last record in it
+	since      int              // records since the last snapshot
+	compacting bool
+	lost       []recovery.Event // not on disk, in order
+	dropped    int
+	healing    float64 // ms until the next try
+	closed     bool
+}
+
+// target reads a journal into a state.
+type target struct {
+	state  *recovery.State
+	number uint64
+	count  int
+}
+
+// Restore implements journal.Target.
+func (t *target) Restore(b []byte) (err error) {
+	t.state, err = recovery.DecodeState(b)
+	return err
+}
+
+// Replay implements journal.Target.
+func (t *target) Replay(number uint64, b []byte) error {
+	e, err := recovery.DecodeEvent(b)
+	if err != nil {
+		return err
+	}
+	t.state.Apply(e)
+	t.number = number
+	t.count++
+	return nil
+}
+
+// Read recovers a directory without taking or changing it.
+func Read(dir string, fs vfs.FS) (*recovery.State, journal.Stats, error) {
+	t := &target{state: recovery.NewState()}
+	j, err := journal.Open(dir, journal.Options{FS: fs, ReadOnly: true}, t)
+	if err != nil {
+		return nil, journal.Stats{}, err
+	}
+	return t.state, j.Stats(), nil
+}
+
+// Open recovers a directory and takes it. The plan says what to heed before the first request.
+func Open(o Options) (*Keeper, recovery.Plan, error) {
+	if o.Each <= 0 {
+		o.Each = usualEach
+	}
+	k := &Keeper{opt: o, healing: healAfter}
+	t := &target{state: recovery.NewState()}
+	j, err := journal.Open(o.Dir, journal.Options{FS: o.FS, Clock: o.Clock, Delay: o.Delay}, t)
+	if err != nil {
+		return nil, recovery.Plan{}, err
+	}
+	k.j, k.state, k.since = j, t.state, t.count
+	k.number = j.Stats().Next - 1
+	now := o.Clock.Now()
+	plan := k.state.Plan(now, o.Settings)
+	k.keep(recovery.Event{At: now, Boot: true})
+	return k, plan, nil
+}
+
+// Purged keeps a purge, and returns once it is on disk. It is in force all the same if that fails.
+func (k *Keeper) Purged(p recovery.Purge) error {
+	done := make(chan error, 1)
+	k.start(recovery.Event{At: k.opt.Clock.Now(), Purge: &p}, func(err error) { done <- err })
+	return <-done
+}
+
+// Purging keeps a purge without waiting for the disk: its source tells it again after a restart.
+func (k *Keeper) Purging(p recovery.Purge) { k.keep(recovery.Event{At: k.opt.Clock.Now(), Purge: &p}) }
+
+// Published keeps what a ledger published.
+func (k *Keeper) Published(p membership.Publish) {
+	now := k.opt.Clock.Now()
+	for _, m := range p.Members {
+		k.keep(recovery.Of(m, now))
+	}
+}
+
+// Moved keeps the ends of lives that are published to nobody: of drains from before a restart.
+func (k *Keeper) Moved(m membership.Moved) {
+	if m.To == membership.Gone || m.To == membership.Draining {
+		k.keep(recovery.Of(m.Member, k.opt.Clock.Now()))
+	}
+}
+
+// Took keeps a list that was taken from a source.
+func (k *Keeper) Took(source string, set *serverlist.Set) {
+	k.keep(recovery.Event{At: k.opt.Clock.Now(), List: &recovery.List{Source: source, Generation: set.Generation, Servers: set.Servers}})
+}
+
+// Revised keeps which revision of the configuration is in use.
+func (k *Keeper) Revised(revision uint64) {
+	k.keep(recovery.Event{At: k.opt.Clock.Now(), Revision: revision})
+}
+
+func (k *Keeper) keep(e recovery.Event) { k.start(e, func(error) {}) }
+
+// start hands an event to the journal. What the journal could not take is kept for when it can.
+func (k *Keeper) start(e recovery.Event, end func(error)) {
+	raw, err := e.Encode()
+	if err != nil {
+		end(err)
+		return
+	}
+	k.mu.Lock()
+	j := k.j
+	if j == nil && !k.closed {
+		k.lose(e)
+		k.mu.Unlock()
+		end(journal.ErrFailed)
+		return
+	}
+	k.mu.Unlock()
+	if j == nil {
+		end(journal.ErrClosed)
+		return
+	}
+	j.Start(raw, func(number uint64, err error) {
+		k.ended(j, e, number, err)
+		end(err)
+	})
+}
+
+// ended books what became of an event, in the journal's order.
+func (k *Keeper) ended(j *journal.Journal, e recovery.Event, number uint64, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		if errors.Is(err, journal.ErrClosed) && k.closed {
+			return
+		}
+		k.lose(e)
+		k.opt.Log.Error("state").Err(err).Int("waiting", len(k.lost)).Msg("state is not kept: in force all the same, and lost in a crash")
+		if k.j == j {
+			k.heal(!errors.Is(err, journal.ErrFull))
+		}
+		return
+	}
+	k.state.Apply(e)
+	k.number = number
+	if k.since++; k.since >= k.opt.Each && !k.compacting && !k.closed {
+		k.compacting = true
+		go k.compact(j)
+	}
+}
+
+func (k *Keeper) lose(e recovery.Event) {
+	if len(k.lost) >= mostLost {
+		k.lost = k.lost[1:]
+		k.dropped++
+	}
+	k.lost = append(k.lost, e)
+}
+
+// heal tries again later what could not be kept. After a sync that failed the journal is opened anew.
+func (k *Keeper) heal(reopen bool) {
+	old := k.j
+	if reopen {
+		k.j = nil
+	}
+	wait := k.healing * (0.5 + rand.Float64())
+	k.healing = min(2*k.healing, healMost)
+	k.opt.Clock.After(wait, func() {
+		if reopen {
+			_ = old.Close()
+		}
+		k.again(reopen)
+	})
+}
+
+func (k *Keeper) again(reopen bool) {
+	k.mu.Lock()
+	if k.closed {
+		k.mu.Unlock()
+		return
+	}
+	if reopen {
+		t := &target{state: recovery.NewState()}
+		j, err := journal.Open(k.opt.Dir, journal.Options{FS: k.opt.FS, Clock: k.opt.Clock, Delay: k.opt.Delay}, t)
+		if err != nil {
+			k.opt.Log.Error("state").Err(err).Msg("the state's journal can't be opened anew")
+			k.heal(true)
+			k.mu.Unlock()
+			return
+		}
+		k.j, k.state, k.since = j, t.state, t.count
+	}
+	lost := k.lost
+	k.lost = nil
+	k.mu.Unlock()
+	for i, e := range lost {
+		last := i == len(lost)-1
+		k.start(e, func(err error) {
+			if err == nil && last {
+				k.mu.Lock()
+				k.healing = healAfter
+				k.mu.Unlock()
+				k.opt.Log.Info("state").Int("events", len(lost)).Msg("state is kept again")
+			}
+		})
+	}
+}
+
+// compact prunes the state and puts a snapshot in place of its records.
+func (k *Keeper) compact(j *journal.Journal) {
+	k.mu.Lock()
+	k.state.Prune(k.opt.Clock.Now(), k.opt.Settings)
+	raw, err := k.state.Encode()
+	number := k.number
+	k.since = 0
+	k.mu.Unlock()
+	if err == nil {
+		err = j.Compact(number, raw)
+	}
+	if err != nil && !errors.Is(err, journal.ErrClosed) {
+		k.opt.Log.Warn("state").Err(err).Msg("no snapshot: the journal grows")
+	}
+	k.mu.Lock()
+	k.compacting = false
+	k.mu.Unlock()
+}
+
+// Compact writes a snapshot now.
+func (k *Keeper) Compact() {
+	k.mu.Lock()
+	j := k.j
+	k.mu.Unlock()
+	if j != nil {
+		k.compact(j)
+	}
+}
+
+// Status is how the state stands.
+type Status struct {
+	Purges  int           `json:"purges"`
+	Members int           `json:"members"`
+	Lists   int           `json:"lists"`
+	Boots   int           `json:"boots"`
+	Waiting int           `json:"waiting"` // not on disk
+	Dropped int           `json:"dropped"` // never will be
+	Journal journal.Stats `json:"journal"`
+}
+
+// Status tells how the state stands.
+func (k *Keeper) Status() Status {
+	k.mu.Lock()
+	j := k.j
+	s := Status{Boots: k.state.Boots, Waiting: len(k.lost), Dropped: k.dropped}
+	s.Purges, s.Members, s.Lists = k.state.Sizes()
+	k.mu.Unlock()
+	if j != nil {
+		s.Journal = j.Stats()
+	} else {
+		s.Journal.Failed = "not open"
+	}
+	return s
+}
+
+// Close keeps what is under way and lets go of the directory.
+func (k *Keeper) Close() error {
+	k.mu.Lock()
+	k.closed = true
+	j := k.j
+	k.mu.Unlock()
+	if j == nil {
+		return nil
+	}
+	return j.Close()
+}
