--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -262,19 +262,32 @@
 		}
 	}
 	j.next = next
-	if j.torn += int64(len(b) - end); end == len(b) || j.opt.ReadOnly {
+	if j.torn += int64(len(b) - end); !last || j.opt.ReadOnly {
 		return nil
 	}
-	// Cut off, and synced at once: or bytes of it could come back behind records that are written there next.
-	f, err := j.opt.FS.Open(j.path(name))
+	return j.renew(name, b[:end])
+}
+
+// renew writes the good part of the last segment anew. Guards against a sync that failed before a restart of the process
+// alone: the kernel goes on showing bytes that the disk does not have, takes them for clean, and a sync would not write
+// them. Records that were read from them, and those that are written behind them, would be lost with the power.
+func (j *Journal) renew(name string, good []byte) error {
+	tmp := j.path(name + ".tmp")
+	f, err := j.opt.FS.Create(tmp)
 	if err != nil {
 		return err
 	}
-	defer f.Close()
-	if err := f.Truncate(int64(end)); err != nil {
-		return err
+	if _, err = f.Write(good); err == nil {
+		err = f.Sync()
+	}
+	f.Close()
+	if err == nil {
+		err = j.opt.FS.Rename(tmp, j.path(name))
+	}
+	if err == nil {
+		err = j.opt.FS.SyncDir(j.dir)
 	}
-	return f.Sync()
+	return err
 }
 
 // begin starts a new segment for what is written from now on. The one before it is closed for good.
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -165,6 +165,25 @@
 	require.Equal(t, "a", m.got[0])
 }
 
+// A sync fails, the process alone is started again and reads what the kernel still shows; then the power is lost.
+func TestShownButNotOnDisk(t *testing.T) {
+	for seed := range uint64(50) {
+		fs := vfs.NewSim(-1)
+		j, err := Open("d", options(fs), &model{})
+		require.NoError(t, err)
+		_, err = j.Append([]byte(payload(0)))
+		require.NoError(t, err)
+		fs.FailAt(fs.Calls()+2, vfs.SyncLost)
+		_, err = j.Append([]byte(payload(1)))
+		require.ErrorIs(t, err, ErrFailed)
+		require.NoError(t, j.Close())
+		fs.Restart(nil)
+		acked, _ := work(fs, 2, 3)
+		fs.Restart(rand.New(rand.NewPCG(seed, 1)))
+		recovered(t, fs, acked, acked, "after a sync that failed")
+	}
+}
+
 // A disk that is full takes nothing, loses nothing, and takes records again once there is room.
 func TestDiskFull(t *testing.T) {
 	for room := range 5000 {
--- a/internal/journal/vfs/sim.go
+++ b/internal/journal/vfs/sim.go
@@ -137,7 +137,7 @@
 			copy(out[at:end], n.data[at:])
 		}
 	}
-	n.data, n.synced = out, slices.Clone(out)
+	n.data, n.synced, n.lost = out, slices.Clone(out), nil
 }
 
 func (s *Sim) settle(m move) {
