--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run demo soak fuzz bench
+.PHONY: build test race lint run demo torture soak fuzz bench
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -22,13 +22,19 @@
 run: build
 	exec bin/ravenwheel serve
 
+# The process killed a hundred times under traffic; TORTURE_SEED draws other moments.
+torture:
+	TORTURE=100 go test -count=1 -timeout 20m -v -run Torture ./cmd/ravenwheel
+
 # Properties over histories drawn anew, and the fuzzers; not part of CI.
 soak:
-	SOAK=1 go test -count=1 ./internal/decide/membership ./internal/decide/settle -rapid.checks=20000 -run 'Model|Any'
+	SOAK=1 go test -count=1 ./internal/decide/membership ./internal/decide/settle ./internal/decide/recovery -rapid.checks=20000 -run 'Model|Any|Kept'
 
 fuzz:
 	go test ./internal/decide/strict -run XXX -fuzz FuzzDecode -fuzztime 60s
 	go test ./internal/decide/serverlist -run XXX -fuzz FuzzParse -fuzztime 60s
+	go test ./internal/decide/recovery -run XXX -fuzz FuzzDecode -fuzztime 60s
+	go test ./internal/journal -run XXX -fuzz FuzzSegment -fuzztime 60s
 
 bench:
 	go test -run XXX -bench . -benchmem ./policy ./internal/...
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"time"
@@ -11,12 +12,14 @@
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/decide/recovery"
 	"ravenwheel/internal/decide/serverlist"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/roster"
 	"ravenwheel/internal/source/board"
 	"ravenwheel/internal/source/names"
 	"ravenwheel/internal/source/watch"
+	"ravenwheel/internal/state"
 )
 
 const (
@@ -35,6 +38,7 @@
 	roster *roster.Roster
 	board  *board.Client // nil: none
 	list   *watch.Source // nil: none
+	state  *state.Keeper // nil: nothing is kept
 	admin  *admin.Admin  // nil: off
 }
 
@@ -56,12 +60,42 @@
 		}
 		set.Sources = append(set.Sources, b)
 	}
-	var err error
-	if s.roster, err = roster.New(roster.Options{Ledger: set, Clock: clk, Log: log, Publish: c.Members}); err != nil {
+	plan, err := s.startState(o, conf, set, clk, log)
+	if err != nil {
+		return nil, err
+	}
+	ledger := roster.Options{Ledger: set, Clock: clk, Log: log, Publish: c.Members}
+	purged := c.Purged
+	if s.state != nil {
+		ledger.Publish = func(p membership.Publish) { c.Members(p); s.state.Published(p) }
+		ledger.Moved = s.state.Moved
+		purged = func(p core.Purge) {
+			c.Purged(p)
+			s.state.Purging(recovery.Purge{Object: p.Object, Group: p.Group, Made: p.At, Told: clk.Now()})
+		}
+	}
+	if s.roster, err = roster.New(ledger); err != nil {
+		s.close()
 		return nil, err
 	}
+	// What was told before the restart binds before anything new is heard and before the first request.
+	for _, p := range plan.Purges {
+		group := p.Group
+		if p.Object != "" {
+			group = -1
+		}
+		c.Purged(core.Purge{Object: p.Object, Group: group, At: p.Made})
+	}
+	var kept *serverlist.Set
+	if plan.Boots > 0 { // else nothing is known, and that is not to say that every server is new
+		floors := map[int]uint64{}
+		if l, ok := plan.List(listSource); ok {
+			floors[fileAt], kept = l.Generation, serverlist.Again(l.Generation, l.Servers)
+		}
+		s.roster.Restore(plan.Remembered, floors)
+	}
 	if boardAt >= 0 {
-		notice := func(n board.Notice) { n.Tell(boardAt, s.roster.Tell, c.Purged) }
+		notice := func(n board.Notice) { n.Tell(boardAt, s.roster.Tell, purged) }
 		for _, n := range conf.Known {
 			notice(n)
 		}
@@ -71,12 +105,13 @@
 		}
 	}
 	if l := o.Servers; l != nil {
-		if err := s.startList(l, fileAt, conf, clk, log); err != nil {
+		if err := s.startList(l, fileAt, conf, kept, clk, log); err != nil {
+			s.close()
 			return nil, err
 		}
 	}
 	if o.Admin != nil {
-		a := admin.Options{Listen: o.Admin.Listen, Clock: clk, Log: log, Names: conf.Names, Core: c, Views: s.roster.Views}
+		a := admin.Options{Listen: o.Admin.Listen, Clock: clk, Log: log, Names: conf.Names, Core: c, Views: s.roster.Views, State: s.state}
 		if s.list != nil {
 			a.List = s.list.Status
 		}
@@ -92,18 +127,51 @@
 	return s, nil
 }
 
-// startList reads the list that is there. Without one a proxy that stands alone could serve nobody, and does not
-// start; where the board tells of servers too, the list is waited for.
-func (s *sources) startList(l *config.Servers, at int, conf *config.Config, clk *clock.Clock, log *logs.Log) error {
+// listSource is the name under which the watched list is kept: there is one, whatever its file is called.
+const listSource = "list"
+
+// startState recovers what was kept, and takes its directory.
+func (s *sources) startState(o *config.Operator, conf *config.Config, set membership.Settings, clk *clock.Clock, log *logs.Log) (plan recovery.Plan, err error) {
+	if o.State == nil {
+		return plan, nil
+	}
+	began := clk.Now()
+	s.state, plan, err = state.Open(state.Options{
+		Dir: o.State.Dir, Clock: clk, Log: log, Delay: o.State.Delay, Settings: recovery.Settings{
+			PurgeTakes: clock.Ms(conf.Settings.PurgeTakes), PurgeGrace: clock.Ms(conf.Settings.PurgeNotice),
+			DropDrain: set.DropDrain, GoneFor: set.GoneFor,
+		},
+	})
+	if err != nil {
+		return plan, fmt.Errorf("state: %w", err)
+	}
+	if plan.SteppedBack > 0 {
+		log.Warn("state").Float64("ms", plan.SteppedBack).Msg("the clock is behind what was seen before the restart: what binds, binds from now on")
+	}
+	log.Info("state").Int("boots", plan.Boots).Int("purges", len(plan.Purges)).Int("servers", len(plan.Remembered)).
+		Float64("ms", clk.Now()-began).Msg("state recovered")
+	return plan, nil
+}
+
+// startList reads the list that is there. Where it can't be used, the one that was kept is; without either, a proxy that
+// stands alone could serve nobody, and does not start. Where the board tells of servers too, the list is waited for.
+func (s *sources) startList(l *config.Servers, at int, conf *config.Config, kept *serverlist.Set, clk *clock.Clock, log *logs.Log) error {
 	facts := conf.Facts(l.MostDropped)
 	cache := &names.Cache{Resolver: resolver(), Clock: clk, TTL: l.TTL, Timeout: l.Resolve}
 	take := func(set *serverlist.Set) {
+		if s.state != nil {
+			_ = s.state.Took(listSource, set) // the keeper says so; not to take the list would be worse
+		}
 		s.roster.Tell(membership.List{Source: at, Generation: set.Generation, Entries: conf.Entries(set)})
 	}
-	set, err := watch.Load(l.Path, facts, cache)
+	set, err := watch.Load(l.Path, facts, cache, kept)
 	switch {
 	case err == nil:
 		take(set)
+	case kept != nil:
+		log.Error("list").Err(err).Uint64("in_use", kept.Generation).Msg("server list refused: the one kept from before the restart is used")
+		set = kept
+		take(set)
 	case conf.Board == "":
 		return err
 	}
@@ -137,4 +205,7 @@
 	if s.admin != nil {
 		s.admin.Close()
 	}
+	if s.state != nil {
+		_ = s.state.Close()
+	}
 }
--- /dev/null
+++ b/cmd/ravenwheel/torture_test.go
@@ -0,0 +1,240 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/admin"
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/lab/fleet"
+	"ravenwheel/internal/lab/load"
+	"ravenwheel/policy"
+)
+
+// kills is how often the process is killed: a few in CI, a hundred by "make torture".
+func kills() int {
+	if n, err := strconv.Atoi(os.Getenv("TORTURE")); err == nil {
+		return n
+	}
+	return 6
+}
+
+// tortured is the real program, killed and started again, under clients that never stop.
+type tortured struct {
+	t        *testing.T
+	rng      *rand.Rand
+	clk      *clock.Clock
+	fleet    *fleet.Fleet
+	bin      string
+	operator string
+	list     string
+	sock     string
+	listen   string
+	cmd      *exec.Cmd
+	logs     bytes.Buffer
+	gen      int
+	told     []fleet.Told
+	// names are the ids under which the boxes are listed: a box that drains is listed anew under another one.
+	names map[policy.CacheID]policy.CacheID
+}
+
+// box is a stand-in, by the id that it has for itself; the list may give it others.
+const boxes = 6
+
+func (x *tortured) entry(box policy.CacheID) string {
+	e := entryText(box, x.fleet.Server(box).Addr(), `, "weight": 6`)
+	if id := x.names[box]; id != 0 {
+		// The kind goes by the box, the id does not.
+		e = strings.Replace(e, fmt.Sprintf("s-%08x", uint64(box)), fmt.Sprintf("s-%08x", uint64(id)), 1)
+	}
+	return e
+}
+
+func (x *tortured) text(boxes []policy.CacheID) string {
+	var lines []string
+	for _, b := range append(slices.Clone(boxes), 10, 20) {
+		lines = append(lines, x.entry(b))
+	}
+	return listText(x.gen, lines)
+}
+
+func (x *tortured) start() {
+	x.cmd = exec.Command(x.bin, "serve", "--operator", x.operator)
+	x.cmd.Stderr = &x.logs
+	require.NoError(x.t, x.cmd.Start())
+	for end := time.Now().Add(time.Minute); ; time.Sleep(2 * time.Millisecond) {
+		var s admin.Servers
+		if admin.Call(x.sock, "/v1/servers", nil, &s) == nil {
+			nc, err := net.Dial("tcp", x.listen)
+			if err == nil {
+				nc.Close()
+				return
+			}
+		}
+		require.True(x.t, time.Now().Before(end), "the program does not come up: %s", x.logs.String())
+	}
+}
+
+func (x *tortured) kill() {
+	require.NoError(x.t, x.cmd.Process.Signal(syscall.SIGKILL))
+	_ = x.cmd.Wait()
+}
+
+// use renames a list into place and tells whether the proxy was seen to use it: only then it was told.
+func (x *tortured) use(boxes []policy.CacheID, patience time.Duration) bool {
+	x.gen++
+	require.NoError(x.t, os.WriteFile(x.list+".new", []byte(x.text(boxes)), 0o600))
+	require.NoError(x.t, os.Rename(x.list+".new", x.list))
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		var s admin.Servers
+		if admin.Call(x.sock, "/v1/servers", nil, &s) == nil && s.List.Generation == uint64(x.gen) {
+			return true
+		}
+	}
+	return false
+}
+
+// ready tells whether a box is in use, under the id that it is listed by.
+func (x *tortured) ready(box policy.CacheID) bool {
+	id := box
+	if named := x.names[box]; named != 0 {
+		id = named
+	}
+	var s admin.Servers
+	return admin.Call(x.sock, "/v1/servers", nil, &s) == nil && slices.ContainsFunc(s.Servers, func(v admin.Server) bool {
+		return v.ID == serverlist.Name(id) && v.Phase == "ready"
+	})
+}
+
+// TestTorture kills the real program at random moments, under traffic on sockets, with drains and purges going on, and
+// holds what the servers saw against what it had been told: no new work to a box that drains, under whatever id it is
+// listed by then, nothing served that is older than a purge, no write run twice.
+func TestTorture(t *testing.T) {
+	seed := uint64(7)
+	if s, err := strconv.ParseUint(os.Getenv("TORTURE_SEED"), 10, 64); err == nil {
+		seed = s
+	}
+	const drain = 2500.0
+	x := &tortured{t: t, rng: rand.New(rand.NewPCG(seed, 1)), clk: clock.System(), bin: build(t), listen: freeAddr(t), names: map[policy.CacheID]policy.CacheID{}}
+	dir := t.TempDir()
+	x.operator, x.list, x.sock = filepath.Join(dir, "o.jsonc"), filepath.Join(dir, "servers.jsonc"), "unix:"+filepath.Join(dir, "a.sock")
+	text := strings.Replace(operatorText, "127.0.0.1:1", x.listen, 1)
+	text = strings.Replace(text, `"servers": {`, fmt.Sprintf(`"admin": {"listen": %q}, "state": {"dir": "state"}, "servers": {`, x.sock), 1)
+	text = strings.Replace(text, `"drain_ms": 3000`, `"drain_ms": 2500`, 1)
+	require.NoError(t, os.WriteFile(x.operator, []byte(text), 0o600))
+	x.fleet = fleet.New(fleet.Options{Clock: x.clk, Serve: 3, Fill: 10, PurgeTakes: 6000})
+	defer x.fleet.Close()
+	var all []policy.CacheID
+	for id := policy.CacheID(1); id <= boxes; id++ {
+		all = append(all, id)
+		_, err := x.fleet.Start(id, fleet.Cache, "127.0.0.1:0")
+		require.NoError(t, err)
+	}
+	_, err := x.fleet.Start(10, fleet.Parent, "127.0.0.1:0")
+	require.NoError(t, err)
+	_, err = x.fleet.Start(20, fleet.Origin, "127.0.0.1:0")
+	require.NoError(t, err)
+	x.gen = 1
+	require.NoError(t, os.WriteFile(x.list, []byte(x.text(all)), 0o600))
+	x.start()
+	defer func() { _ = x.cmd.Process.Kill() }()
+
+	client := load.New(load.Options{
+		Addr: x.listen, Clock: x.clk, Seed: seed, Conns: 4, Objects: 50, Retries: 2, Classes: []load.Class{
+			{Name: "replay", Share: 5, Budget: 2000, Parts: 3}, {Name: "asset", Share: 4, Budget: 2000, Parts: 1},
+			{Name: "seat-claim", Share: 2, Budget: 2000, Write: true, Parts: 1},
+		},
+	})
+	defer client.Close()
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		tick := time.NewTicker(4 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+				client.Ask()
+			case <-stop:
+				return
+			}
+		}
+	}()
+
+	for n := range kills() {
+		box := all[x.rng.IntN(len(all))]
+		rest := slices.DeleteFunc(slices.Clone(all), func(b policy.CacheID) bool { return b == box })
+		patience := time.Second
+		switch n % 3 {
+		case 0: // told of a drain, killed, and the box is listed anew while it drains
+			// One that waits for a drain to end, under the id that it was given for that, is not in use and can't drain.
+			if inUse := x.ready(box); x.use(rest, patience) && inUse {
+				// Until the drain is over. Its end is counted from the latest that it can have begun.
+				now := x.clk.Now()
+				x.told = append(x.told, fleet.Told{At: now, Drains: []policy.CacheID{box}}, fleet.Told{At: now + drain - 800, Returns: []policy.CacheID{box}})
+			}
+			time.Sleep(time.Duration(x.rng.IntN(60)) * time.Millisecond)
+			x.kill()
+			x.names[box] = policy.CacheID(100 + n)
+			x.gen++
+			require.NoError(t, os.WriteFile(x.list, []byte(x.text(all)), 0o600))
+		case 1: // told of a purge, and killed at once
+			group := x.rng.IntN(fleet.Groups)
+			object := load.Object(uint64(x.rng.IntN(5)))
+			x.fleet.Purge(object, group)
+			at := x.clk.Now()
+			if admin.Call(x.sock, "/v1/purge", admin.Purge{Object: object}, &map[string]float64{}) == nil {
+				x.told = append(x.told, fleet.Told{At: at, Purge: true, Object: object})
+			}
+			time.Sleep(time.Duration(x.rng.IntN(20)) * time.Millisecond)
+			x.kill()
+		case 2: // killed in the middle of whatever goes on, with the list torn or an older one in its place
+			go func() {
+				_ = admin.Call(x.sock, "/v1/purge", admin.Purge{Object: load.Object(40)}, &map[string]float64{})
+			}()
+			time.Sleep(time.Duration(x.rng.IntN(100)) * time.Millisecond)
+			x.kill()
+			good := x.text(all)
+			if x.rng.IntN(2) == 0 {
+				require.NoError(t, os.WriteFile(x.list, []byte(good[:len(good)/2]), 0o600))
+			} else {
+				gen := x.gen
+				x.gen = 1
+				require.NoError(t, os.WriteFile(x.list, []byte(x.text(all[:1])), 0o600))
+				x.gen = gen
+			}
+		}
+		x.start()
+		time.Sleep(time.Duration(100+x.rng.IntN(700)) * time.Millisecond)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	close(stop)
+	<-stopped
+	client.Wait()
+
+	// Stricter than the rule: a decision is written within half a second of it or not at all.
+	broken := fleet.Rules{Drain: 500, Purge: 1000, Slack: 100}.Broken(x.fleet.Seen(), x.told)
+	require.Empty(t, append(broken, x.fleet.RanTwice()...))
+	for _, w := range client.Wrong() { // a process that is killed loses what it holds, and nothing else
+		require.Contains(t, w, "lost: ", w)
+	}
+	sum := client.Sums()["asset"]
+	require.Greater(t, sum.Served, sum.Asked/2, "%+v\n%s\n%v", client.Sums(), x.logs.String(), client.Wrong())
+	out, err := exec.Command(x.bin, "state", "verify", filepath.Join(dir, "state")).CombinedOutput()
+	require.NoError(t, err, string(out))
+	t.Logf("killed %d times: told of %d things; %d attempts seen, %d writes ran; %s", kills(), len(x.told), len(x.fleet.Seen()), x.fleet.Ran(), out)
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -20,10 +20,12 @@
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/decide/recovery"
 	"ravenwheel/internal/decide/serverlist"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/source/board"
 	"ravenwheel/internal/source/watch"
+	"ravenwheel/internal/state"
 )
 
 // Server is one server as the proxy sees it. Times are Unix ms.
@@ -57,6 +59,7 @@
 	Core   *core.Core
 	Views  func() ([]membership.View, uint64)
 	List   func() watch.Status // nil: no list is watched
+	State  *state.Keeper       // nil: nothing is kept
 }
 
 // Admin serves operators.
@@ -98,6 +101,7 @@
 	mux.HandleFunc("GET /v1/servers", a.servers)
 	mux.HandleFunc("GET /v1/counters", a.counters)
 	mux.HandleFunc("POST /v1/purge", a.purge)
+	mux.HandleFunc("GET /v1/state", a.state)
 	a.srv = &http.Server{
 		Handler: mux, ReadTimeout: callWait, WriteTimeout: callWait, IdleTimeout: callWait, MaxHeaderBytes: 8 << 10,
 	}
@@ -161,6 +165,14 @@
 	})
 }
 
+func (a *Admin) state(w http.ResponseWriter, _ *http.Request) {
+	if a.opt.State == nil {
+		http.Error(w, "no state is kept", http.StatusNotFound)
+		return
+	}
+	reply(w, a.opt.State.Status())
+}
+
 // Purge names an object or a group.
 type Purge struct {
 	Object string `json:"object,omitempty"`
@@ -180,6 +192,13 @@
 		return
 	}
 	a.opt.Core.Purged(q)
+	if a.opt.State != nil {
+		// In force before it is kept, kept before it is told: a crash in between leaves a purge that nobody was told of.
+		if err := a.opt.State.Purged(recovery.Purge{Object: q.Object, Group: q.Group, Made: q.At, Told: q.At}); err != nil {
+			http.Error(w, "in force, but not kept over a restart: "+err.Error(), http.StatusInsufficientStorage)
+			return
+		}
+	}
 	a.opt.Log.Info("purge").Str("object", q.Object).Int("group", q.Group).Msg("purged by hand")
 	reply(w, map[string]float64{"purged_ms": q.At})
 }
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -25,6 +25,7 @@
 	Classes []Class      `json:"classes"`
 	Servers *Servers     `json:"servers"`
 	Admin   *Admin       `json:"admin"`
+	State   *State       `json:"state"`
 	Log     Log          `json:"log"`
 	Signed  *Signed      `json:"signed"`
 	Store   Store        `json:"store"`
@@ -125,6 +126,12 @@
 	Listen string `json:"listen"`
 }
 
+// State is the journal of what must survive a crash. Times are in ms.
+type State struct {
+	Dir   string  `json:"dir"` // from the operator's file if it is relative; a process alone uses it
+	Delay float64 `json:"delay_ms"`
+}
+
 // Log is how loud the log is, and its form.
 type Log struct {
 	Level  string `json:"level"`
@@ -185,6 +192,9 @@
 	if s := o.Servers; s != nil && !filepath.IsAbs(s.Path) {
 		s.Path = filepath.Join(filepath.Dir(path), s.Path)
 	}
+	if s := o.State; s != nil && !filepath.IsAbs(s.Dir) {
+		s.Dir = filepath.Join(filepath.Dir(path), s.Dir)
+	}
 	return o, nil
 }
 
@@ -280,6 +290,11 @@
 			doc.Fail("admin.listen", "a unix socket needs a path of 1 to 100 characters")
 		}
 	}
+	if s := o.State; s != nil {
+		c := checker{doc, "state"}
+		c.given("dir", s.Dir)
+		c.within("delay_ms", &s.Delay, 0, 0, 1000)
+	}
 	o.LogOpt = logs.Options{Level: o.Log.Level, Format: o.Log.Format}
 	checker{doc, "log"}.oneOf("level", o.Log.Level, "", "debug", "info", "warn", "error")
 	checker{doc, "log"}.oneOf("format", o.Log.Format, "", "auto", "text", "json")
--- a/internal/decide/recovery/state.go
+++ b/internal/decide/recovery/state.go
@@ -134,6 +134,7 @@
 		s.members[m.ID] = m
 	case e.List != nil:
 		if old, known := s.lists[e.List.Source]; !known || e.List.Generation >= old.Generation {
+			s.drained(old, *e.List, e.At)
 			s.lists[e.List.Source] = *e.List
 		}
 	case e.Revision > 0:
@@ -143,6 +144,23 @@
 	}
 }
 
+// drained has those drain that a list drops or drains. It is kept before it is in use: a crash right after it was told
+// finds nothing else that says so.
+func (s *State) drained(old, next List, at float64) {
+	ready := make(map[policy.CacheID]bool, len(next.Servers))
+	for _, x := range next.Servers {
+		ready[x.ID] = !x.Draining
+	}
+	for _, x := range old.Servers {
+		m, known := s.members[uint64(x.ID)]
+		if !known || ready[x.ID] || m.Phase == membership.Draining || m.Phase == membership.Gone {
+			continue
+		}
+		m.Phase, m.Since = membership.Draining, at
+		s.members[m.ID] = m
+	}
+}
+
 // until is when a purge can no longer bind: by then every older copy has been dropped, twice over, as one may have been
 // on its way when its source's went.
 func (p Purge) until(set Settings) float64 {
--- a/internal/decide/serverlist/settle.go
+++ b/internal/decide/serverlist/settle.go
@@ -160,6 +160,13 @@
 	return h.Sum64()
 }
 
+// Again is a set as it was taken before, from what was kept of it.
+func Again(generation uint64, servers []Server) *Set {
+	s := &Set{Generation: generation, Servers: servers}
+	s.Sum = s.sum()
+	return s
+}
+
 // Change is what becomes of one server between two lists.
 type Change struct {
 	ID   policy.CacheID
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -25,7 +25,7 @@
 
 // Bounds. MostRecord of a payload; a batch that is synced together; a snapshot, unpacked.
 const (
-	MostRecord   = 1 << 20
+	MostRecord   = 16 << 20
 	mostBatch    = 1 << 20
 	mostSnapshot = 1 << 30
 	// mostSegment: a larger file is no segment of ours, and would only cost memory.
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -75,7 +75,7 @@
 	if err := os.WriteFile(r.path, raw, 0o600); err != nil {
 		return err
 	}
-	set, err := watch.Load(r.path, r.conf.Facts(0), &names.Cache{Clock: r.clk})
+	set, err := watch.Load(r.path, r.conf.Facts(0), &names.Cache{Clock: r.clk}, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -17,6 +17,8 @@
 	Log    *logs.Log
 	// Publish gets what has changed, in order.
 	Publish func(membership.Publish)
+	// Moved gets every step in a server's life, if it is set.
+	Moved func(membership.Moved)
 }
 
 // Roster holds the one ledger.
@@ -47,6 +49,14 @@
 	return r.ledger.Views(), r.version
 }
 
+// Restore has the ledger take up where one stood before a restart. It comes before the first Tell.
+func (r *Roster) Restore(list []membership.Remembered, floors map[int]uint64) {
+	r.mu.Lock()
+	r.ledger.Restore(r.opt.Clock.Now(), list, floors)
+	r.mu.Unlock()
+	r.Tell(membership.Tick{})
+}
+
 // Tell takes in what a source says.
 func (r *Roster) Tell(e membership.Event) {
 	r.mu.Lock()
@@ -62,6 +72,9 @@
 			r.unset()
 			r.unset = r.opt.Clock.After(a.At-r.opt.Clock.Now(), func() { r.Tell(membership.Tick{}) })
 		case membership.Moved:
+			if r.opt.Moved != nil {
+				r.opt.Moved(a)
+			}
 			if !first { // at the start they come in hundreds, and nothing has happened to them
 				r.opt.Log.Debug("member").Uint64("id", uint64(a.Member.ID)).Str("addr", a.Member.Addr).
 					Stringer("from", a.From).Stringer("to", a.To).Str("why", a.Why).Msg("member moved")
--- a/internal/source/watch/watch.go
+++ b/internal/source/watch/watch.go
@@ -82,8 +82,8 @@
 	mostRead  = 2 * strict.MostBytes
 )
 
-// Load reads, resolves and checks a list once, as it is now.
-func Load(path string, facts serverlist.Facts, cache *names.Cache) (*serverlist.Set, error) {
+// Load reads, resolves and checks a list once, as it is now, against the one taken before (nil: none).
+func Load(path string, facts serverlist.Facts, cache *names.Cache, old *serverlist.Set) (*serverlist.Set, error) {
 	files, err := Read(path)
 	if err != nil {
 		return nil, err
@@ -92,7 +92,7 @@
 	if bad != nil {
 		return nil, bad
 	}
-	set, bad := d.Settle(cache.Answers(d.Hosts()), nil)
+	set, bad := d.Settle(cache.Answers(d.Hosts()), old)
 	return set, bad.Err()
 }
 
--- a/internal/source/watch/watch_test.go
+++ b/internal/source/watch/watch_test.go
@@ -290,13 +290,13 @@
 	path := inDir(dir)
 	require.NoError(t, os.WriteFile(path, list(4, 1), 0o600))
 	cache := &names.Cache{Clock: clock.Manual(0)}
-	set, err := watch.Load(path, serverlist.Facts{}, cache)
+	set, err := watch.Load(path, serverlist.Facts{}, cache, nil)
 	require.NoError(t, err)
 	require.EqualValues(t, 4, set.Generation)
 	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(string(list(4, 1)), "127.0.0.1:", "a.example.org:", 1)), 0o600))
-	_, err = watch.Load(path, serverlist.Facts{}, cache)
+	_, err = watch.Load(path, serverlist.Facts{}, cache, nil)
 	require.ErrorContains(t, err, "a.example.org is a name, and no names are resolved here")
-	_, err = watch.Load(filepath.Join(dir, "none"), serverlist.Facts{}, cache)
+	_, err = watch.Load(filepath.Join(dir, "none"), serverlist.Facts{}, cache, nil)
 	require.Error(t, err)
 }
 
--- a/internal/state/keeper.go
+++ b/internal/state/keeper.go
@@ -131,9 +131,14 @@
 	}
 }
 
-// Took keeps a list that was taken from a source.
-func (k *Keeper) Took(source string, set *serverlist.Set) {
-	k.keep(recovery.Event{At: k.opt.Clock.Now(), List: &recovery.List{Source: source, Generation: set.Generation, Servers: set.Servers}})
+// Took keeps a list that was taken from a source, and returns once it is on disk: it is to be in force only then, or a
+// crash would forget whom it drains.
+func (k *Keeper) Took(source string, set *serverlist.Set) error {
+	done := make(chan error, 1)
+	k.start(recovery.Event{
+		At: k.opt.Clock.Now(), List: &recovery.List{Source: source, Generation: set.Generation, Servers: set.Servers},
+	}, func(err error) { done <- err })
+	return <-done
 }
 
 // Revised keeps which revision of the configuration is in use.
