--- a/cmd/ravenwheel/operator.go
+++ b/cmd/ravenwheel/operator.go
@@ -19,7 +19,7 @@
 var operatorFile string
 
 // startOperator starts what the operator's file sets up. stop ends it once what is open has been answered.
-func startOperator(o *config.Operator, clk *clock.Clock, log *logs.Log, c *core.Core, up *upstream.Pools) (stop func(context.Context), err error) {
+func startOperator(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, up *upstream.Pools, st *store.Store, src *sources) (stop func(context.Context), err error) {
 	var ends []func(context.Context)
 	stop = func(ctx context.Context) {
 		for i := len(ends) - 1; i >= 0; i-- {
@@ -40,23 +40,25 @@
 		go func() { _ = snmp.New(s.Community, snmp.Scalars(&c.Counters, up.Late.Load, conns)).Serve(pc) }()
 		ends = append(ends, func(context.Context) { pc.Close() })
 	}
+	follow := &live{store: st, log: log, core: c, up: up, conf: conf, oper: o}
+	if src.state != nil {
+		follow.used = src.state.Revised
+	}
 	s := o.Signed
 	if s == nil {
+		if st != nil {
+			go follow.run()
+		}
 		return stop, nil
 	}
-	st, err := store.Open(store.Options{
-		Self: o.Store.Self, Peers: o.Store.Peers, Dir: o.Store.Dir, Timeout: o.Timeout(), Clock: clk,
-	})
-	if err != nil {
-		return nil, err
-	}
-	ends = append(ends, func(context.Context) { _ = st.Close() })
 	go seed(st, o.Keys)
 	ln, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return nil, err
 	}
 	front := signed.New(signed.Options{Audience: s.Audience, Leeway: s.LeewayMs, Clock: clk, Store: st, Core: c})
+	follow.signed = front
+	go follow.run()
 	go func() {
 		if err := front.Serve(ln); err != nil {
 			log.Error("signed").Err(err).Msg("the signed front is lost")
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -19,6 +19,7 @@
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/front/resp"
 	"ravenwheel/internal/logs"
+	"ravenwheel/internal/store"
 	"ravenwheel/internal/upstream"
 )
 
@@ -98,7 +99,14 @@
 		return err
 	}
 	c.Log = func(text string) { log.Info("module").Msg(text) }
-	src, err := startSources(operator, conf, clk, log, c)
+	var st *store.Store
+	if operator.Store.Name != "" || operator.Signed != nil {
+		if st, err = operator.OpenStore(clk); err != nil {
+			return err
+		}
+		defer st.Close()
+	}
+	src, err := startSources(operator, conf, clk, log, c, st)
 	if err != nil {
 		return err
 	}
@@ -109,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	stopOperator, err := startOperator(operator, clk, log, c, up)
+	stopOperator, err := startOperator(operator, conf, clk, log, c, up, st, src)
 	if err != nil {
 		return err
 	}
--- a/cmd/ravenwheel/servers.go
+++ b/cmd/ravenwheel/servers.go
@@ -49,6 +49,7 @@
 	}
 	show.Flags().StringVar(&adminAddr, "admin", "", "the proxy's admin address: unix:PATH or HOST:PORT (default: the operator's file's)")
 	cmd.AddCommand(check, diff, show)
+	cmd.AddCommand(handCommands()...)
 	return cmd
 }
 
@@ -181,7 +182,8 @@
 }
 
 func configCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "config", Short: "Check configuration", Args: cobra.NoArgs}
+	cmd := &cobra.Command{Use: "config", Short: "Check configuration, and change what the store holds of it", Args: cobra.NoArgs}
+	cmd.AddCommand(sharedConfig()...)
 	cmd.AddCommand(&cobra.Command{
 		Use: "check FILE...", Short: "Say whether operators' files can be used: a line file:line:col: reason a defect, and exit 1",
 		Args: cobra.MinimumNArgs(1), RunE: checkConfig,
--- /dev/null
+++ b/cmd/ravenwheel/shared.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/config"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/decide/recovery"
+	"ravenwheel/internal/decide/replica"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/front/signed"
+	"ravenwheel/internal/logs"
+	"ravenwheel/internal/store"
+	"ravenwheel/internal/upstream"
+	"ravenwheel/policy"
+)
+
+// What operators do goes to all members of the store, or, where there is none, to this proxy and its journal.
+
+// Purge implements admin.Shared. It is in force here before it is kept, and kept before it is told: a crash in between
+// leaves a purge that nobody was told of.
+func (s *sources) Purge(p core.Purge) error {
+	s.core.Purged(p)
+	var err error
+	if s.state != nil {
+		err = s.state.Purged(recovery.Purge{Object: p.Object, Group: p.Group, Made: p.At, Told: p.At})
+	}
+	if s.shares() {
+		set := s.core.Settings()
+		until := p.At + 2*clock.Ms(set.PurgeTakes) + clock.Ms(set.PurgeNotice)
+		_, serr := s.store.Do(replica.Change{Kind: replica.SetPurge, Until: until, Purge: &replica.Purge{Object: p.Object, Group: p.Group, Made: p.At}})
+		err = errors.Join(err, serr)
+	}
+	return err
+}
+
+// Drain implements admin.Shared.
+func (s *sources) Drain(id policy.CacheID, on bool) error {
+	if !s.shares() {
+		return s.drained(id, on)
+	}
+	kind := replica.EndDrain
+	if on {
+		kind = replica.SetDrain
+	}
+	_, err := s.store.Do(replica.Change{Kind: kind, Name: serverlist.Name(id)})
+	return err
+}
+
+func (s *sources) drained(id policy.CacheID, on bool) error {
+	s.roster.Tell(membership.Drain{ID: id, On: on})
+	if s.state == nil {
+		return nil
+	}
+	return s.state.Drained(uint64(id), on)
+}
+
+// Push implements admin.Shared.
+func (s *sources) Push(file string, text []byte) (*serverlist.Set, error) {
+	if !s.shares() {
+		return nil, errors.New("lists are pushed to a store, and none is set up")
+	}
+	d, bad := serverlist.Parse([]serverlist.File{{Name: file, Data: text}}, s.facts)
+	if bad != nil {
+		return nil, bad
+	}
+	var old *serverlist.Set
+	if err := s.store.Read(true, func(st *replica.State) {
+		if l, ok := st.Lists[storeList]; ok {
+			old = serverlist.Again(l.Generation, l.Servers)
+		}
+	}); err != nil {
+		return nil, err
+	}
+	set, bad := d.Settle(s.names.Answers(d.Hosts()), old)
+	if bad != nil {
+		return nil, bad
+	}
+	_, err := s.store.Do(replica.Change{Kind: replica.SetList, Name: storeList, List: &replica.List{Generation: set.Generation, Servers: set.Servers}})
+	return set, err
+}
+
+// storeSource is the name under which the journal keeps the store's list.
+const storeSource = "store"
+
+// storeList is the name of the one list that the store holds.
+const storeList = "servers"
+
+func (s *sources) shares() bool { return s.heard != nil }
+
+// hear takes in the facts of the store, in the order of its log.
+func (s *sources) hear(at int, conf *config.Config, log *logs.Log) {
+	for c := range s.heard {
+		switch c.Kind {
+		case replica.SetList:
+			set := serverlist.Again(c.List.Generation, c.List.Servers)
+			entries := conf.Entries(set)
+			usable := true
+			for i, e := range entries {
+				if e.Zone < 0 || e.Kind < 0 {
+					log.Error("list").Str("server", serverlist.Name(set.Servers[i].ID)).Msg("the store's list is not of this site: not used")
+					usable = false
+				}
+			}
+			if usable {
+				if s.state != nil { // before it is in force, as a watched list is
+					_ = s.state.Took(storeSource, set)
+				}
+				s.roster.Tell(membership.List{Source: at, Generation: set.Generation, Entries: entries})
+			}
+		case replica.SetDrain, replica.EndDrain:
+			if id, ok := serverlist.ID(c.Name); ok {
+				_ = s.drained(id, c.Kind == replica.SetDrain) // the store has it; the keeper says what it could not keep
+			}
+		case replica.SetPurge:
+			p := core.Purge{Object: c.Purge.Object, Group: c.Purge.Group, At: c.Purge.Made}
+			if p.Object != "" {
+				p.Group = -1
+			}
+			s.core.Purged(p)
+			if s.state != nil {
+				s.state.Purging(recovery.Purge{Object: p.Object, Group: c.Purge.Group, Made: p.At, Told: s.clk.Now()})
+			}
+		}
+	}
+}
+
+// live applies revisions of the shared configuration: all of one or nothing.
+type live struct {
+	store  *store.Store
+	log    *logs.Log
+	core   *core.Core
+	up     *upstream.Pools
+	signed *signed.Front // nil: off
+	conf   *config.Config
+	oper   *config.Operator
+	good   string // the text in use
+	used   func(revision uint64)
+}
+
+// run follows the revisions as this member learns of them.
+func (l *live) run() {
+	for r := range l.store.Watch() {
+		l.apply(r)
+	}
+}
+
+// apply checks a revision whole and puts it in force. One that can't be used here was proposed past the check of another
+// version: the text in use is proposed again in its place, unless a newer one is there by then.
+func (l *live) apply(r replica.Revision) {
+	x, err := config.ParseLive(fmt.Sprintf("revision %d", r.Number), r.Text)
+	if err != nil {
+		l.log.Error("config").Err(err).Uint64("revision", r.Number).Msg("a revision can't be used: the one before it stays, and is put back")
+		if l.good != "" {
+			if _, err := l.store.SetConfig(r.Number, l.good, "put back"); err != nil && !errors.Is(err, store.ErrConflict) {
+				l.log.Error("config").Err(err).Msg("the revision before it could not be put back")
+			}
+		}
+		return
+	}
+	// Nothing below can fail, so that no revision is in force by half.
+	level, limits := l.oper.LogOpt.Level, config.LiveLimits{
+		Requests: l.conf.MostHeld, Connect: l.conf.Connect, Idle: l.conf.ConnIdle, Streams: l.conf.StreamsPerConn,
+	}
+	if x.Log != nil {
+		level = x.Log.Level
+	}
+	if level == "" {
+		level = "info"
+	}
+	if x.Limits != nil {
+		limits = *x.Limits
+	}
+	l.log.SetLevel(level)
+	l.core.SetMostHeld(limits.Requests)
+	l.up.SetLimits(limits.Streams, limits.Connect, limits.Idle)
+	if l.signed != nil {
+		leeway := l.oper.Signed.LeewayMs
+		if x.Signed != nil {
+			leeway = x.Signed.LeewayMs
+		}
+		l.signed.SetLeeway(leeway)
+	}
+	if x.Ring != nil && l.store.Leader() {
+		l.changeKeys(x.Ring)
+	}
+	if l.good = r.Text; l.used != nil {
+		l.used(r.Number)
+	}
+	l.log.Info("config").Uint64("revision", r.Number).Str("by", r.By).Msg("revision in force")
+}
+
+// changeKeys brings the store's signing keys to those that a revision names. One member does it, the leader; a change
+// that fails is made again with the next revision.
+func (l *live) changeKeys(ring config.KeyRing) {
+	have := map[string]store.Key{}
+	_ = l.store.Read(false, func(s *replica.State) { maps.Copy(have, s.Keys) })
+	for kid, k := range ring {
+		if old, ok := have[kid]; !ok || old.Alg != k.Alg || string(old.Data) != string(k.Data) {
+			if err := l.store.PutKey(kid, k); err != nil {
+				l.log.Error("config").Err(err).Str("kid", kid).Msg("a signing key was not put")
+			}
+		}
+	}
+	for kid := range have {
+		if _, wanted := ring[kid]; !wanted {
+			if err := l.store.DropKey(kid); err != nil {
+				l.log.Error("config").Err(err).Str("kid", kid).Msg("a signing key was not dropped")
+			}
+		}
+	}
+}
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -13,6 +13,7 @@
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/decide/recovery"
+	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/decide/serverlist"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/roster"
@@ -20,11 +21,15 @@
 	"ravenwheel/internal/source/names"
 	"ravenwheel/internal/source/watch"
 	"ravenwheel/internal/state"
+	"ravenwheel/internal/store"
+	"ravenwheel/policy"
 )
 
 const (
 	// boardSilence: the board's frames come each second.
 	boardSilence, boardRedial = 2500 * time.Millisecond, 100 * time.Millisecond
+	// storeDrain: ms for which a server drains that the store's list drops, where no watched list says otherwise.
+	storeDrain = 10_000
 	// silentAfter: ms without a frame after which an operator is told that the board is silent.
 	silentAfter = 10_000
 )
@@ -40,18 +45,32 @@
 	list   *watch.Source // nil: none
 	state  *state.Keeper // nil: nothing is kept
 	admin  *admin.Admin  // nil: off
+	store  *store.Store  // nil: none is set up
+	core   *core.Core
+	clk    *clock.Clock
+	names  *names.Cache
+	facts  serverlist.Facts
+	heard  chan replica.Change // facts of the store, in order
 }
 
 // startSources takes in what is known at the start, and follows what comes later.
-func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core) (*sources, error) {
-	s := &sources{}
+func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, st *store.Store) (*sources, error) {
+	s := &sources{store: st, core: c, clk: clk, names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
+	s.facts = conf.Facts(0)
 	set := membership.Settings{}
-	fileAt, boardAt := -1, -1
+	fileAt, storeAt, boardAt := -1, -1, -1
 	if l := o.Servers; l != nil {
 		fileAt = len(set.Sources)
 		set.Sources = append(set.Sources, membership.Source{Name: filepath.Base(l.Path)})
 		set.DropDrain, set.GoneFor, set.WeightStep, set.WeightEvery = l.Drain, l.Remember, l.WeightStep, l.WeightEvery
 	}
+	if st != nil && o.Store.Name != "" {
+		storeAt = len(set.Sources)
+		set.Sources = append(set.Sources, membership.Source{Name: "store"})
+		if o.Servers == nil {
+			set.DropDrain, set.GoneFor = storeDrain, storeDrain
+		}
+	}
 	if conf.Board != "" {
 		boardAt = len(set.Sources)
 		b := membership.Source{Name: "board", Direct: true}
@@ -94,6 +113,9 @@
 		}
 		s.roster.Restore(plan.Remembered, floors)
 	}
+	for _, id := range plan.Hand {
+		s.roster.Tell(membership.Drain{ID: policy.CacheID(id), On: true})
+	}
 	if boardAt >= 0 {
 		notice := func(n board.Notice) { n.Tell(boardAt, s.roster.Tell, purged) }
 		for _, n := range conf.Known {
@@ -111,7 +133,7 @@
 		}
 	}
 	if o.Admin != nil {
-		a := admin.Options{Listen: o.Admin.Listen, Clock: clk, Log: log, Names: conf.Names, Core: c, Views: s.roster.Views, State: s.state}
+		a := admin.Options{Listen: o.Admin.Listen, Clock: clk, Log: log, Names: conf.Names, Core: c, Views: s.roster.Views, State: s.state, Store: st, Shared: s}
 		if s.list != nil {
 			a.List = s.list.Status
 		}
@@ -121,6 +143,11 @@
 		}
 		go s.admin.Serve()
 	}
+	if storeAt >= 0 {
+		s.heard = make(chan replica.Change, 1024)
+		go s.hear(storeAt, conf, log)
+		st.Facts(func(c replica.Change) { s.heard <- c })
+	}
 	if s.board != nil {
 		go s.board.Run(context.Background()) // also while stopping: the rules go on
 	}
@@ -158,6 +185,7 @@
 func (s *sources) startList(l *config.Servers, at int, conf *config.Config, kept *serverlist.Set, clk *clock.Clock, log *logs.Log) error {
 	facts := conf.Facts(l.MostDropped)
 	cache := &names.Cache{Resolver: resolver(), Clock: clk, TTL: l.TTL, Timeout: l.Resolve}
+	s.facts = facts
 	take := func(set *serverlist.Set) {
 		if s.state != nil {
 			_ = s.state.Took(listSource, set) // the keeper says so; not to take the list would be worse
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -13,19 +13,24 @@
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"ravenwheel/internal/clock"
+	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/membership"
-	"ravenwheel/internal/decide/recovery"
+	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/decide/strict"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/source/board"
 	"ravenwheel/internal/source/watch"
 	"ravenwheel/internal/state"
+	"ravenwheel/internal/store"
+	"ravenwheel/policy"
 )
 
 // Server is one server as the proxy sees it. Times are Unix ms.
@@ -60,6 +65,15 @@
 	Views  func() ([]membership.View, uint64)
 	List   func() watch.Status // nil: no list is watched
 	State  *state.Keeper       // nil: nothing is kept
+	Store  *store.Store        // nil: none is set up
+	Shared Shared
+}
+
+// Shared is what is done for all members of a store, or for this proxy where there is none. Each returns once it is kept.
+type Shared interface {
+	Purge(core.Purge) error
+	Drain(id policy.CacheID, on bool) error
+	Push(file string, text []byte) (*serverlist.Set, error)
 }
 
 // Admin serves operators.
@@ -102,6 +116,12 @@
 	mux.HandleFunc("GET /v1/counters", a.counters)
 	mux.HandleFunc("POST /v1/purge", a.purge)
 	mux.HandleFunc("GET /v1/state", a.state)
+	mux.HandleFunc("POST /v1/drain", a.drain)
+	mux.HandleFunc("POST /v1/list", a.push)
+	if o.Store != nil {
+		mux.HandleFunc("GET /v1/config", a.config)
+		mux.HandleFunc("POST /v1/config", a.configure)
+	}
 	a.srv = &http.Server{
 		Handler: mux, ReadTimeout: callWait, WriteTimeout: callWait, IdleTimeout: callWait, MaxHeaderBytes: 8 << 10,
 	}
@@ -191,18 +211,102 @@
 		http.Error(w, "wants an object of 16 hexadecimal digits, or a group from 0 to 255", http.StatusBadRequest)
 		return
 	}
-	a.opt.Core.Purged(q)
-	if a.opt.State != nil {
-		// In force before it is kept, kept before it is told: a crash in between leaves a purge that nobody was told of.
-		if err := a.opt.State.Purged(recovery.Purge{Object: q.Object, Group: q.Group, Made: q.At, Told: q.At}); err != nil {
-			http.Error(w, "in force, but not kept over a restart: "+err.Error(), http.StatusInsufficientStorage)
-			return
-		}
+	if err := a.opt.Shared.Purge(q); err != nil {
+		http.Error(w, "in force here, but not kept: "+err.Error(), http.StatusInsufficientStorage)
+		return
 	}
 	a.opt.Log.Info("purge").Str("object", q.Object).Int("group", q.Group).Msg("purged by hand")
 	reply(w, map[string]float64{"purged_ms": q.At})
 }
 
+// Drain names a server to be drained by hand, or given back.
+type Drain struct {
+	ID string `json:"id"`
+	On bool   `json:"on"`
+}
+
+func (a *Admin) drain(w http.ResponseWriter, r *http.Request) {
+	var d Drain
+	id, ok := policy.CacheID(0), false
+	if json.NewDecoder(io.LimitReader(r.Body, mostSent)).Decode(&d) == nil {
+		id, ok = serverlist.ID(d.ID)
+	}
+	views, _ := a.opt.Views()
+	if ok = ok && (!d.On || slices.ContainsFunc(views, func(v membership.View) bool { return v.Member.ID == id })); !ok {
+		http.Error(w, fmt.Sprintf("no server %q", d.ID), http.StatusBadRequest)
+		return
+	}
+	if err := a.opt.Shared.Drain(id, d.On); err != nil {
+		http.Error(w, "not kept: "+err.Error(), http.StatusInsufficientStorage)
+		return
+	}
+	a.opt.Log.Info("drain").Str("id", d.ID).Bool("on", d.On).Msg("drained or given back by hand")
+	reply(w, d)
+}
+
+// List is a server list that is pushed to all members.
+type List struct {
+	File string `json:"file"` // as its defects name it
+	Text string `json:"text"`
+}
+
+func (a *Admin) push(w http.ResponseWriter, r *http.Request) {
+	var l List
+	err := json.NewDecoder(io.LimitReader(r.Body, 2*strict.MostBytes)).Decode(&l)
+	var set *serverlist.Set
+	if err == nil {
+		set, err = a.opt.Shared.Push(l.File, []byte(l.Text))
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply(w, map[string]any{"generation": set.Generation, "servers": len(set.Servers)})
+}
+
+// Config is what "config get" and "config history" show: the revisions that are kept, oldest first.
+type Config struct {
+	InForce   uint64             `json:"in_force"`
+	Revisions []replica.Revision `json:"revisions"`
+	StaleMs   float64            `json:"stale_ms"` // how long this member has heard of no leader
+}
+
+func (a *Admin) config(w http.ResponseWriter, _ *http.Request) {
+	out := Config{StaleMs: a.opt.Store.Status().StaleMs}
+	_ = a.opt.Store.Read(false, func(s *replica.State) {
+		out.InForce, out.Revisions = s.Revision().Number, slices.Clone(s.Config)
+	})
+	reply(w, out)
+}
+
+// Configure puts a text in place of a revision, or goes back to one.
+type Configure struct {
+	Base uint64 `json:"base"`
+	Text string `json:"text"`
+	By   string `json:"by"`
+	Back uint64 `json:"back"` // the revision to go back to; 0: Text
+}
+
+func (a *Admin) configure(w http.ResponseWriter, r *http.Request) {
+	var c Configure
+	err := json.NewDecoder(io.LimitReader(r.Body, mostSent)).Decode(&c)
+	var revision uint64
+	switch {
+	case err != nil:
+	case c.Back > 0:
+		revision, err = a.opt.Store.Rollback(c.Back, c.By)
+	default:
+		if _, err = config.ParseLive("revision", c.Text); err == nil {
+			revision, err = a.opt.Store.SetConfig(c.Base, c.Text, c.By)
+		}
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	reply(w, map[string]uint64{"revision": revision})
+}
+
 func reply(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"ravenwheel/internal/clock"
 	"ravenwheel/internal/decide/strict"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/store"
@@ -38,6 +39,23 @@
 // KeyRing are the signing keys of a file, by their id.
 type KeyRing map[string]store.Key
 
+// OpenStore starts this member of the store.
+func (o *Operator) OpenStore(clk *clock.Clock) (*store.Store, error) {
+	s := o.Store
+	so := store.Options{Timeout: o.Timeout(), Clock: clk, Peers: s.Peers, Join: s.Join, Dir: s.Dir}
+	if s.Name != "" {
+		id, err := store.LoadIdentity(s.Identity, s.Name)
+		if err != nil {
+			return nil, err
+		}
+		if err := os.MkdirAll(s.Dir, 0o700); err != nil {
+			return nil, err
+		}
+		so.Self, so.Identity = store.Member{Name: s.Name, Addr: s.Listen}, id
+	}
+	return store.Open(so)
+}
+
 // Proxy is who this proxy is.
 type Proxy struct {
 	Name   string `json:"name"`
@@ -152,12 +170,15 @@
 	Key string `json:"key"`
 }
 
-// Store is this member of the replicated store.
+// Store is this member of the replicated store. Without "name" it is alone and in memory.
 type Store struct {
-	Self      store.Peer   `json:"self"`
-	Peers     []store.Peer `json:"peers"`
-	Dir       string       `json:"dir"`
-	TimeoutMs float64      `json:"timeout_ms"`
+	Name      string         `json:"name"`
+	Listen    string         `json:"listen"`   // for the other members: mutual TLS
+	Peers     []store.Member `json:"peers"`    // of a new cluster, this one among them
+	Join      string         `json:"join"`     // the address of a member to join, in place of peers
+	Dir       string         `json:"dir"`      // of the log
+	Identity  string         `json:"identity"` // the directory of ca.crt, NAME.crt and NAME.key
+	TimeoutMs float64        `json:"timeout_ms"`
 }
 
 // SNMP sets up the agent.
@@ -195,6 +216,11 @@
 	if s := o.State; s != nil && !filepath.IsAbs(s.Dir) {
 		s.Dir = filepath.Join(filepath.Dir(path), s.Dir)
 	}
+	for _, dir := range []*string{&o.Store.Dir, &o.Store.Identity} {
+		if *dir != "" && !filepath.IsAbs(*dir) {
+			*dir = filepath.Join(filepath.Dir(path), *dir)
+		}
+	}
 	return o, nil
 }
 
@@ -312,7 +338,7 @@
 			o.Keys[kid] = store.Key{Alg: k.Alg, Data: data}
 		}
 	}
-	checker{doc, "store"}.within("timeout_ms", &o.Store.TimeoutMs, 2000, 10, 60_000)
+	o.checkStore(doc)
 	if s := o.SNMP; s != nil {
 		c := checker{doc, "snmp"}
 		c.address("listen", s.Listen, false)
@@ -320,6 +346,37 @@
 	}
 }
 
+func (o *Operator) checkStore(doc *strict.Doc) {
+	s := &o.Store
+	c := checker{doc, "store"}
+	c.within("timeout_ms", &s.TimeoutMs, 2000, 10, 60_000)
+	if s.Name == "" {
+		for _, field := range []string{"listen", "peers", "join", "dir", "identity"} {
+			if doc.Has("store." + field) {
+				doc.Fail("store."+field, "%s goes with name: a store without one is alone and in memory", field)
+			}
+		}
+		return
+	}
+	c.address("listen", s.Listen, false)
+	c.given("dir", s.Dir)
+	c.given("identity", s.Identity)
+	if (len(s.Peers) == 0) == (s.Join == "") {
+		doc.Fail("store", "store needs peers, of a new cluster, or join, the address of a member of one")
+	}
+	if s.Join != "" {
+		c.address("join", s.Join, false)
+	}
+	self := len(s.Peers) == 0
+	for i, p := range s.Peers {
+		checker{doc, fmt.Sprintf("store.peers[%d]", i)}.address("addr", p.Addr, false)
+		self = self || p.Name == s.Name && p.Addr == s.Listen
+	}
+	if !self {
+		doc.Fail("store.peers", "peers do not hold %q at %s", s.Name, s.Listen)
+	}
+}
+
 // longest is the longest deadline of a class, 3 s at least.
 func (o *Operator) longest() float64 {
 	most := 3000.0
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -111,7 +111,7 @@
 	up       Upstream
 	set      policy.Settings
 	classes  []string
-	mostHeld int
+	mostHeld atomic.Int64
 	goodFor  float64 // ms for which a decision may wait for its first byte
 	Counters Counters
 	Log      func(text string) // takes the module's lines, if set before the first event
@@ -179,12 +179,16 @@
 			good = min(good, grace/2)
 		}
 	}
-	return &Core{
-		clock: c, up: up, set: set, classes: classes, mostHeld: mostHeld, goodFor: good,
-		router: router, lives: map[string]*life{},
-	}, nil
+	core := &Core{
+		clock: c, up: up, set: set, classes: classes, goodFor: good, router: router, lives: map[string]*life{},
+	}
+	core.mostHeld.Store(int64(mostHeld))
+	return core, nil
 }
 
+// SetMostHeld changes how many requests are open at once. Those that are open stay.
+func (c *Core) SetMostHeld(n int) { c.mostHeld.Store(int64(n)) }
+
 // Settings are the facts that the core was started with.
 func (c *Core) Settings() policy.Settings { return c.set }
 
@@ -258,7 +262,7 @@
 	case q.Class < 0 || q.Class >= len(c.classes) || c.lives[q.ID] != nil:
 		c.Counters.Failed.Add(1)
 		return nil, Answer{Verdict: Failed}
-	case len(c.lives) >= c.mostHeld:
+	case len(c.lives) >= int(c.mostHeld.Load()):
 		c.Counters.Refused.Add(1)
 		return nil, Answer{Verdict: Refused, Backoff: clock.Ms(c.set.MaxRetryAfter)}
 	}
--- a/internal/decide/membership/ledger.go
+++ b/internal/decide/membership/ledger.go
@@ -102,12 +102,19 @@
 // Heard tells that a source is there and has nothing new.
 type Heard struct{ Source int }
 
+// Drain tells that a server is drained by hand, or no longer, whatever the sources say of it.
+type Drain struct {
+	ID policy.CacheID
+	On bool
+}
+
 // Tick tells that a wake that was asked for is due.
 type Tick struct{}
 
 func (List) event()    {}
 func (Changes) event() {}
 func (Heard) event()   {}
+func (Drain) event()   {}
 func (Tick) event()    {}
 
 // Action is what the ledger wants done: Publish, Wake, Moved, Rejected or Silence. Actions come in order.
@@ -170,6 +177,7 @@
 	facts  Member  // as they would be published, or were
 	told   bool    // published, and not as gone
 	direct bool    // its last word came from a direct source
+	hand   bool    // drained by hand
 	before bool    // as it stood before a restart: why it drains is not known
 	holds  string  // the address that is its own
 	until  float64 // Draining: gone then, where no list names it; Gone: forgotten then
@@ -206,6 +214,7 @@
 	now     float64
 	// was is who was in use before a restart, and restored that this is known.
 	was      map[policy.CacheID]Member
+	hand     map[policy.CacheID]bool
 	restored bool
 
 	out     []Action
@@ -225,6 +234,7 @@
 	}
 	l := &Ledger{
 		set: s, records: map[policy.CacheID]*record{}, at: map[string]map[policy.CacheID]struct{}{},
+		hand:  map[policy.CacheID]bool{},
 		queue: map[string]map[policy.CacheID]struct{}{}, touched: map[policy.CacheID]struct{}{},
 	}
 	for _, x := range s.Sources {
@@ -258,7 +268,7 @@
 		}
 		r := &record{
 			id: m.ID, claims: make([]*claim, len(l.sources)), phase: x.Phase, since: min(x.Since, l.now),
-			why: "so before the restart", facts: m, before: true,
+			why: "so before the restart", facts: m, before: true, hand: l.hand[m.ID],
 		}
 		l.records[m.ID] = r
 		if x.Phase == Gone {
@@ -282,6 +292,8 @@
 		l.take(e.Source, e.Generation, e.Entries, false)
 	case Heard:
 		l.hear(e.Source)
+	case Drain:
+		l.byHand(e)
 	}
 	l.expire()
 	l.settle()
@@ -329,6 +341,25 @@
 	}
 }
 
+// byHand books a drain by hand. It outlives the server's record: one that comes back is drained still.
+func (l *Ledger) byHand(e Drain) {
+	if e.On {
+		l.hand[e.ID] = true
+	} else {
+		delete(l.hand, e.ID)
+	}
+	r := l.records[e.ID]
+	if r == nil || r.hand == e.On {
+		return
+	}
+	r.hand = e.On
+	// Given back after a drain: most likely restarted meanwhile, as one that its list drained is.
+	if at, _, _ := r.word(); !e.On && at >= 0 && !l.sources[at].Direct && r.claims[at].said.Started == 0 && !r.claims[at].Warm {
+		r.claims[at].guessed = true
+	}
+	l.touched[e.ID] = struct{}{}
+}
+
 func (l *Ledger) hear(at int) {
 	if at < 0 || at >= len(l.sources) {
 		return
@@ -348,7 +379,7 @@
 func (l *Ledger) claim(at int, e Entry, first bool) {
 	r := l.records[e.ID]
 	if r == nil {
-		r = &record{id: e.ID, claims: make([]*claim, len(l.sources))}
+		r = &record{id: e.ID, claims: make([]*claim, len(l.sources)), hand: l.hand[e.ID]}
 		l.records[e.ID] = r
 	}
 	old := r.claims[at]
@@ -411,6 +442,8 @@
 		return at, policy.Gone, by
 	case state == policy.Gone && least != policy.Gone: // somebody lists it still
 		return at, policy.Draining, by
+	case r.hand && state == policy.Ready:
+		return at, policy.Draining, -1
 	}
 	return at, state, by
 }
@@ -441,7 +474,10 @@
 	}
 	c := r.claims[at]
 	r.direct = l.sources[at].Direct
-	why := fmt.Sprintf("%s %d", l.sources[by].Name, l.sources[by].generation)
+	why := "drained by hand"
+	if by >= 0 {
+		why = fmt.Sprintf("%s %d", l.sources[by].Name, l.sources[by].generation)
+	}
 	switch state {
 	case policy.Gone:
 		l.move(r, Gone, c.Member, why)
--- a/internal/decide/recovery/state.go
+++ b/internal/decide/recovery/state.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
@@ -77,6 +78,13 @@
 	List     *List   `cbor:"4,keyasint,omitempty"`
 	Revision uint64  `cbor:"5,keyasint,omitempty"` // of the configuration in use
 	Boot     bool    `cbor:"6,keyasint,omitempty"`
+	Hand     *Hand   `cbor:"7,keyasint,omitempty"`
+}
+
+// Hand is a drain by hand, or its end.
+type Hand struct {
+	ID uint64 `cbor:"1,keyasint"`
+	On bool   `cbor:"2,keyasint"`
 }
 
 // form is the version of the bytes, in front of them. Later ones migrate what earlier ones wrote.
@@ -90,11 +98,12 @@
 	purges   map[purgeKey]Purge
 	members  map[uint64]Member
 	lists    map[string]List
+	hand     map[uint64]bool
 }
 
 // NewState returns one in which nothing happened.
 func NewState() *State {
-	return &State{purges: map[purgeKey]Purge{}, members: map[uint64]Member{}, lists: map[string]List{}}
+	return &State{hand: map[uint64]bool{}, purges: map[purgeKey]Purge{}, members: map[uint64]Member{}, lists: map[string]List{}}
 }
 
 // Of is a published member as an event.
@@ -139,6 +148,10 @@
 		}
 	case e.Revision > 0:
 		s.Revision = max(s.Revision, e.Revision)
+	case e.Hand != nil:
+		if delete(s.hand, e.Hand.ID); e.Hand.On {
+			s.hand[e.Hand.ID] = true
+		}
 	case e.Boot:
 		s.Boots++
 	}
@@ -192,6 +205,7 @@
 	SteppedBack float64 // ms by which the clock is behind what was seen; 0: it is not
 	Boots       int
 	Revision    uint64
+	Hand        []uint64 // drained by hand
 }
 
 // List finds the list of a source.
@@ -230,6 +244,7 @@
 		p.Remembered = append(p.Remembered, r)
 	}
 	slices.SortFunc(p.Remembered, func(a, b membership.Remembered) int { return cmp.Compare(a.Member.ID, b.Member.ID) })
+	p.Hand = slices.Sorted(maps.Keys(s.hand))
 	for _, l := range s.lists {
 		p.Lists = append(p.Lists, l)
 	}
@@ -342,11 +357,12 @@
 	Purges   []Purge  `cbor:"4,keyasint"`
 	Members  []Member `cbor:"5,keyasint"`
 	Lists    []List   `cbor:"6,keyasint"`
+	Hand     []uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Encode writes all of it.
 func (s *State) Encode() ([]byte, error) {
-	return encode(kept{s.High, s.Boots, s.Revision, s.Purges(), s.Members(), s.Lists()})
+	return encode(kept{s.High, s.Boots, s.Revision, s.Purges(), s.Members(), s.Lists(), slices.Sorted(maps.Keys(s.hand))})
 }
 
 // DecodeState reads what Encode wrote.
@@ -368,6 +384,9 @@
 	for i := range k.Lists {
 		s.Apply(Event{List: &k.Lists[i]})
 	}
+	for _, id := range k.Hand {
+		s.hand[id] = true
+	}
 	s.High, s.Boots, s.Revision = k.High, k.Boots, k.Revision
 	return s, nil
 }
--- a/internal/decide/serverlist/parse.go
+++ b/internal/decide/serverlist/parse.go
@@ -311,6 +311,9 @@
 	return policy.CacheID(n), found && err == nil && text == Name(policy.CacheID(n))
 }
 
+// ID reads an id as Name writes it.
+func ID(text string) (policy.CacheID, bool) { return readID(text) }
+
 // Name is a server's id as lists and the protocol write it.
 func Name(id policy.CacheID) string { return fmt.Sprintf("s-%08x", uint64(id)) }
 
--- a/internal/front/signed/front.go
+++ b/internal/front/signed/front.go
@@ -52,7 +52,8 @@
 
 // New returns a front.
 func New(o Options) *Front {
-	f := &Front{verifier: verifier{clock: o.Clock, store: o.Store, audience: o.Audience, leeway: o.Leeway}, core: o.Core}
+	f := &Front{verifier: verifier{clock: o.Clock, store: o.Store, audience: o.Audience}, core: o.Core}
+	f.SetLeeway(o.Leeway)
 	f.srv = &http.Server{
 		Handler: f, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 15 * time.Second, IdleTimeout: 30 * time.Second,
 		MaxHeaderBytes: 32 << 10,
@@ -60,6 +61,9 @@
 	return f
 }
 
+// SetLeeway changes by how many ms clocks may be apart.
+func (f *Front) SetLeeway(ms float64) { f.leeway.Store(math.Float64bits(ms)) }
+
 // Serve accepts connections on ln until Shutdown.
 func (f *Front) Serve(ln net.Listener) error {
 	if err := f.srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/front/signed/token.go
+++ b/internal/front/signed/token.go
@@ -8,11 +8,13 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"net/url"
 	"regexp"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/golang-jwt/jwt/v5"
@@ -53,7 +55,7 @@
 	clock    *clock.Clock
 	store    *store.Store
 	audience string
-	leeway   float64 // ms
+	leeway   atomic.Uint64 // the bits of a float64, ms
 }
 
 // verify checks a JWT for a URI. A write's token is used up, so it needs an id.
@@ -62,7 +64,7 @@
 	parsed, err := jwt.ParseWithClaims(raw, &c, v.key,
 		jwt.WithValidMethods([]string{"HS256", "ES256", "EdDSA"}),
 		jwt.WithAudience(v.audience), jwt.WithExpirationRequired(), jwt.WithIssuedAt(),
-		jwt.WithLeeway(clock.Duration(v.leeway)), jwt.WithTimeFunc(func() time.Time {
+		jwt.WithLeeway(clock.Duration(math.Float64frombits(v.leeway.Load()))), jwt.WithTimeFunc(func() time.Time {
 			return time.UnixMicro(int64(v.clock.Now() * 1e3))
 		}),
 	)
@@ -75,7 +77,7 @@
 		return token{}, fmt.Errorf("%w: %v", errUnauthorised, err)
 	}
 	kid, _ := parsed.Header["kid"].(string)
-	t := token{kid: kid, jti: c.ID, void: float64(c.ExpiresAt.UnixMicro())/1e3 + v.leeway}
+	t := token{kid: kid, jti: c.ID, void: float64(c.ExpiresAt.UnixMicro())/1e3 + math.Float64frombits(v.leeway.Load())}
 	switch {
 	case c.Version != nil && *c.Version != 1:
 		err = errors.New("cdniv is not 1")
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mattn/go-isatty"
@@ -28,6 +29,7 @@
 type Log struct {
 	z     zerolog.Logger
 	clock *clock.Clock
+	level atomic.Int32
 
 	mu    sync.Mutex
 	kinds map[string]*kind
@@ -64,7 +66,16 @@
 	default:
 		return nil, fmt.Errorf("log format %q is none of auto, text, json", o.Format)
 	}
-	return &Log{z: zerolog.New(w).Level(level), clock: c, kinds: map[string]*kind{}}, nil
+	l := &Log{z: zerolog.New(w), clock: c, kinds: map[string]*kind{}}
+	l.level.Store(int32(level))
+	return l, nil
+}
+
+// SetLevel changes how loud the log is, to one of the levels that New takes.
+func (l *Log) SetLevel(level string) {
+	if x, err := zerolog.ParseLevel(level); l != nil && err == nil {
+		l.level.Store(int32(x))
+	}
 }
 
 func text(w io.Writer) io.Writer {
@@ -85,7 +96,7 @@
 func (l *Log) Error(kind string) *zerolog.Event { return l.begin(zerolog.ErrorLevel, kind) }
 
 func (l *Log) begin(level zerolog.Level, name string) *zerolog.Event {
-	if l == nil || level < l.z.GetLevel() {
+	if l == nil || int32(level) < l.level.Load() {
 		return nil
 	}
 	now := time.UnixMicro(int64(l.clock.Now() * 1e3))
--- a/internal/state/keeper.go
+++ b/internal/state/keeper.go
@@ -32,6 +32,8 @@
 	usualEach = 4096
 	// healAfter ms a journal that failed is opened anew, and at most healMost ms after the time before.
 	healAfter, healMost = 500, 30_000
+	// mostSegments are read at a start before a snapshot is put in their place.
+	mostSegments = 16
 	// mostLost events wait for a journal to come back; more are dropped, oldest first, and said so.
 	mostLost = 65_536
 )
@@ -103,6 +105,10 @@
 	now := o.Clock.Now()
 	plan := k.state.Plan(now, o.Settings)
 	k.keep(recovery.Event{At: now, Boot: true})
+	if len(j.Stats().Segments) > mostSegments { // every start begins one
+		k.compacting = true
+		go k.compact(j)
+	}
 	return k, plan, nil
 }
 
@@ -141,6 +147,13 @@
 	return <-done
 }
 
+// Drained keeps a drain by hand or its end, and returns once it is on disk.
+func (k *Keeper) Drained(id uint64, on bool) error {
+	done := make(chan error, 1)
+	k.start(recovery.Event{At: k.opt.Clock.Now(), Hand: &recovery.Hand{ID: id, On: on}}, func(err error) { done <- err })
+	return <-done
+}
+
 // Revised keeps which revision of the configuration is in use.
 func (k *Keeper) Revised(revision uint64) {
 	k.keep(recovery.Event{At: k.opt.Clock.Now(), Revision: revision})
--- /dev/null
+++ b/internal/store/fsm.go
@@ -0,0 +1,111 @@
+package store
+
+import (
+	"io"
+	"sync"
+
+	"github.com/hashicorp/raft"
+
+	"ravenwheel/internal/decide/replica"
+)
+
+// fsm is decide/replica behind raft's interface.
+type fsm struct {
+	mu       sync.RWMutex
+	state    *replica.State
+	applied  uint64
+	watchers []chan replica.Revision
+	facts    func(replica.Change) // told of lists, drains and purges as they are applied; nil: nobody asks
+}
+
+// Apply takes one entry; its result is a replica.Result.
+func (f *fsm) Apply(l *raft.Log) any {
+	c, err := replica.DecodeChange(l.Data)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applied = l.Index
+	if err != nil {
+		// Of a later version: all members of this one pass it over alike.
+		return replica.Result{Verdict: replica.Invalid}
+	}
+	before := f.state.Revision().Number
+	r := f.state.Apply(c)
+	if now := f.state.Revision(); now.Number != before {
+		f.tell(now)
+	}
+	if f.facts != nil && r.Verdict == replica.OK && c.Kind >= replica.SetList {
+		f.facts(c)
+	}
+	return r
+}
+
+// retell tells all facts that are held, as changes.
+func (f *fsm) retell() {
+	if f.facts == nil {
+		return
+	}
+	for name, l := range f.state.Lists {
+		f.facts(replica.Change{Kind: replica.SetList, Name: name, List: &l})
+	}
+	for name, since := range f.state.Drains {
+		f.facts(replica.Change{Kind: replica.SetDrain, Name: name, At: since})
+	}
+	for _, p := range f.state.Purges {
+		f.facts(replica.Change{Kind: replica.SetPurge, Purge: &p, Until: p.Until})
+	}
+}
+
+// tell hands a revision to the watchers. One that lags gets the newest, not each.
+func (f *fsm) tell(r replica.Revision) {
+	for _, w := range f.watchers {
+		select {
+		case <-w:
+		default:
+		}
+		w <- r
+	}
+}
+
+// Snapshot copies the state.
+func (f *fsm) Snapshot() (raft.FSMSnapshot, error) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	raw, err := replica.Encode(f.state)
+	return snapshot(raw), err
+}
+
+// Restore replaces the state by a snapshot.
+func (f *fsm) Restore(r io.ReadCloser) error {
+	defer r.Close()
+	raw, err := io.ReadAll(r)
+	if err != nil {
+		return err
+	}
+	s, err := replica.DecodeState(raw)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.state.Revision().Number
+	f.state = s
+	f.retell()
+	if now := s.Revision(); now.Number != before {
+		f.tell(now)
+	}
+	return nil
+}
+
+type snapshot []byte
+
+// Persist implements raft.FSMSnapshot.
+func (s snapshot) Persist(sink raft.SnapshotSink) error {
+	if _, err := sink.Write(s); err != nil {
+		_ = sink.Cancel()
+		return err
+	}
+	return sink.Close()
+}
+
+// Release implements raft.FSMSnapshot.
+func (snapshot) Release() {}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -88,7 +88,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if n = len(k.open); n > 0 && k.pool.all.clock.Now()-k.quiet >= quietFor {
-		n += k.pool.all.limits.PerConn
+		n += k.pool.all.limits.Load().PerConn
 	}
 	return n, !k.closed
 }
@@ -98,7 +98,7 @@
 func (k *conn) take(c *call) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.closed || len(k.open) >= k.pool.all.limits.PerConn ||
+	if k.closed || len(k.open) >= k.pool.all.limits.Load().PerConn ||
 		k.given[c.id] || k.open[c.id] != nil {
 		return false
 	}
@@ -159,7 +159,7 @@
 // and to call that a failed connection would take a sound cache server out.
 func (k *conn) dial() (nc net.Conn, err error) {
 	for range 1 + redials {
-		nc, err = k.pool.all.limits.Dial("tcp", k.pool.addr, clock.Duration(k.pool.all.limits.Connect))
+		nc, err = k.pool.all.limits.Load().Dial("tcp", k.pool.addr, clock.Duration(k.pool.all.limits.Load().Connect))
 		if !errors.Is(err, syscall.ECONNRESET) {
 			break
 		}
@@ -177,7 +177,7 @@
 	k.nc = nc
 	k.mu.Unlock()
 	go k.read(nc)
-	idle := k.pool.all.limits.Idle
+	idle := k.pool.all.limits.Load().Idle
 	stop := func() {} // of the one idle timer
 	var out []byte
 	for range k.wake {
@@ -228,7 +228,7 @@
 	k.queue, k.aborts = k.queue[:0], k.aborts[:0]
 	if len(k.open) > 0 {
 		k.used = now
-	} else if idle := k.pool.all.limits.Idle; idle > 0 && now-k.used >= idle/2 {
+	} else if idle := k.pool.all.limits.Load().Idle; idle > 0 && now-k.used >= idle/2 {
 		k.closed = true // before the other side closes it under a new call
 	}
 	return out, dead, k.closed && len(k.open) == 0
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -29,7 +29,7 @@
 // Pools are the connections to all cache servers.
 type Pools struct {
 	clock  *clock.Clock
-	limits Limits
+	limits atomic.Pointer[Limits]
 	probes atomic.Uint64
 	Late   atomic.Int64 // answers that came after their attempt was over
 
@@ -53,11 +53,19 @@
 	if l.Dial == nil {
 		l.Dial = net.DialTimeout
 	}
-	p := &Pools{clock: c, limits: l}
+	p := &Pools{clock: c}
+	p.limits.Store(&l)
 	p.pools.Store(iradix.New[*pool]())
 	return p
 }
 
+// SetLimits changes what bounds a connection: attempts on it, and its times. Connections that are up keep to the new ones.
+func (p *Pools) SetLimits(perConn int, connect, idle float64) {
+	l := *p.limits.Load()
+	l.PerConn, l.Connect, l.Idle = max(1, perConn), connect, idle
+	p.limits.Store(&l)
+}
+
 func key(id policy.CacheID) []byte { return binary.BigEndian.AppendUint64(nil, uint64(id)) }
 
 // Members tells where cache servers are. One that is gone, or has moved, loses its idle connections; what
@@ -163,7 +171,7 @@
 // can't be read, which ends all that is open on its connection: reads are spread in small parts, and what
 // may not be repeated goes over connections of its own.
 func (pl *pool) place(c *call) *conn {
-	part, most := usualPart, pl.all.limits.Conns-aloneConns
+	part, most := usualPart, pl.all.limits.Load().Conns-aloneConns
 	if c.alone {
 		part, most = 1, aloneConns
 	}
@@ -178,7 +186,7 @@
 		}
 	}
 	slices.SortStableFunc(own, func(a, b *conn) int { return loads[a] - loads[b] })
-	room := len(own) < most && len(pl.conns) < 2*pl.all.limits.Conns
+	room := len(own) < most && len(pl.conns) < 2*pl.all.limits.Load().Conns
 	for _, k := range own {
 		if room && loads[k] >= part {
 			break
