--- /dev/null
+++ b/cmd/ravenwheel/live_test.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/config"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/logs"
+	"ravenwheel/internal/scenario"
+	"ravenwheel/internal/store"
+)
+
+// A revision is in force whole; one that can't be used, which a member of another version may have let through, changes
+// nothing and has the one before it put back, unless a newer one is there by then.
+func TestRevisions(t *testing.T) {
+	p := scenario.NewProxy(t)
+	st, err := store.Open(store.Options{Clock: p.Clock})
+	require.NoError(t, err)
+	var out bytes.Buffer
+	log, err := logs.New(&out, logs.Options{Level: "error"}, p.Clock)
+	require.NoError(t, err)
+	var used []uint64
+	l := &live{
+		store: st, log: log, core: p.Core, up: p.Pools, conf: &config.Config{MostHeld: 4096, StreamsPerConn: 32, Connect: 400},
+		oper: &config.Operator{LogOpt: logs.Options{Level: "error"}}, used: func(n uint64) { used = append(used, n) },
+	}
+	set := func(base uint64, text string) {
+		_, err := st.SetConfig(base, text, "ops")
+		require.NoError(t, err)
+		l.apply(st.Config())
+	}
+	good := `{"log": {"level": "info"}, "limits": {"requests": 1}, "keys": {"k1": {"alg": "HS256", "key": "eA=="}}}`
+	set(0, good)
+	require.Contains(t, out.String(), "revision in force", "the log is louder from then on")
+	k, ok := st.Key("k1")
+	require.True(t, ok && string(k.Data) == "x")
+	ctx, leave := context.WithCancel(context.Background())
+	go p.Core.Do(ctx, core.Request{ID: "r1", Class: 1, Object: "o", Deadline: p.Clock.Now() + 900})
+	require.Eventually(t, func() bool { return p.Core.Counters.Open.Load() == 1 }, time.Minute, time.Millisecond)
+	full := core.Answer{Verdict: core.Refused, Backoff: clock.Ms(scenario.Settings().MaxRetryAfter)}
+	require.Equal(t, full, p.Core.Do(ctx, core.Request{ID: "r2", Class: 1, Object: "o", Deadline: p.Clock.Now() + 900}))
+	leave()
+
+	for _, bad := range []string{`{"limits": {"requests": 2}, "keys": {"k2": {"alg": "none", "key": "eA=="}}}`, "{", `{"site": {}}`} {
+		set(st.Config().Number, bad)
+		require.Equal(t, good, st.Config().Text, "put back: %s", bad)
+		_, ok = st.Key("k2")
+		require.False(t, ok, "nothing of it is in force")
+	}
+	// By the time that it is looked at, a newer one is there: that one stays.
+	_, err = st.SetConfig(st.Config().Number, "{", "ops")
+	require.NoError(t, err)
+	broken := st.Config()
+	_, err = st.SetConfig(broken.Number, `{"keys": {}}`, "ops")
+	require.NoError(t, err)
+	l.apply(broken)
+	l.apply(st.Config())
+	require.Equal(t, `{"keys": {}}`, st.Config().Text)
+	_, ok = st.Key("k1")
+	require.False(t, ok, "keys that a revision does not name are dropped")
+	require.Equal(t, []uint64{1, st.Config().Number}, used)
+}
--- a/cmd/ravenwheel/shared_test.go
+++ b/cmd/ravenwheel/shared_test.go
@@ -125,6 +125,10 @@
 			return strings.Contains(out, "drained by hand") && strings.Contains(out, "127.0.0.1:5") && err == nil && st.Purges == 1
 		})
 	}
+	// One directory is of one process: a second one is told so at once.
+	out, code = run("state", "compact", filepath.Join(dir, "state-a"))
+	require.Equal(t, 1, code)
+	require.Contains(t, out, "in use by another process")
 	// The member that leads is killed: the others go on. Back, it knows at once what was drained, and gets the rest.
 	lead := strings.TrimSuffix(strings.Fields(status("a")[strings.Index(status("a"), "leader ")+7:])[0], ",")
 	require.NoError(t, procs[lead].Process.Signal(syscall.SIGKILL))
--- a/cmd/ravenwheel/torture_test.go
+++ b/cmd/ravenwheel/torture_test.go
@@ -48,6 +48,7 @@
 	logs     bytes.Buffer
 	gen      int
 	told     []fleet.Told
+	starts   []time.Duration // from the start to a request that can be taken
 	// names are the ids under which the boxes are listed: a box that drains is listed anew under another one.
 	names map[policy.CacheID]policy.CacheID
 }
@@ -75,6 +76,8 @@
 func (x *tortured) start() {
 	x.cmd = exec.Command(x.bin, "serve", "--operator", x.operator)
 	x.cmd.Stderr = &x.logs
+	began := time.Now()
+	defer func() { x.starts = append(x.starts, time.Since(began)) }()
 	require.NoError(x.t, x.cmd.Start())
 	for end := time.Now().Add(time.Minute); ; time.Sleep(2 * time.Millisecond) {
 		var s admin.Servers
@@ -236,5 +239,7 @@
 	require.Greater(t, sum.Served, sum.Asked/2, "%+v\n%s\n%v", client.Sums(), x.logs.String(), client.Wrong())
 	out, err := exec.Command(x.bin, "state", "verify", filepath.Join(dir, "state")).CombinedOutput()
 	require.NoError(t, err, string(out))
-	t.Logf("killed %d times: told of %d things; %d attempts seen, %d writes ran; %s", kills(), len(x.told), len(x.fleet.Seen()), x.fleet.Ran(), out)
+	slices.Sort(x.starts)
+	t.Logf("up after %v (median) to %v (most); killed %d times: told of %d things; %d attempts seen, %d writes ran; %s",
+		x.starts[len(x.starts)/2].Round(time.Millisecond), x.starts[len(x.starts)-1].Round(time.Millisecond), kills(), len(x.told), len(x.fleet.Seen()), x.fleet.Ran(), out)
 }
--- /dev/null
+++ b/internal/journal/bench_test.go
@@ -0,0 +1,78 @@
+package journal
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+)
+
+// BenchmarkAppend is durable appends of 200 bytes on the machine's disk, by so many writers at once, with syncs shared
+// and with one for each record.
+func BenchmarkAppend(b *testing.B) {
+	for _, writers := range []int{1, 16, 256} {
+		for _, each := range []bool{false, true} {
+			b.Run(fmt.Sprintf("writers=%d/each=%v", writers, each), func(b *testing.B) {
+				clk := clock.System()
+				j, err := Open(b.TempDir(), Options{Clock: clk, EachSynced: each}, &model{})
+				require.NoError(b, err)
+				defer j.Close()
+				var mu sync.Mutex
+				took := hdrhistogram.New(1, 60_000_000, 3)
+				var wait sync.WaitGroup
+				record := make([]byte, 200)
+				began := clk.Now()
+				for w := range writers {
+					wait.Add(1)
+					go func() {
+						defer wait.Done()
+						for i := w; i < b.N; i += writers {
+							at := clk.Now()
+							if _, err := j.Append(record); err != nil {
+								b.Error(err)
+							}
+							mu.Lock()
+							_ = took.RecordValue(int64((clk.Now() - at) * 1000))
+							mu.Unlock()
+						}
+					}()
+				}
+				wait.Wait()
+				b.ReportMetric(float64(b.N)/(clk.Now()-began)*1000, "records/s")
+				b.ReportMetric(float64(took.ValueAtQuantile(50))/1000, "p50-ms")
+				b.ReportMetric(float64(took.ValueAtQuantile(99))/1000, "p99-ms")
+			})
+		}
+	}
+}
+
+// counter is a target that keeps nothing.
+type counter struct{ n int }
+
+func (c *counter) Restore([]byte) error        { return nil }
+func (c *counter) Replay(uint64, []byte) error { c.n++; return nil }
+
+// BenchmarkRecover1M is the start of a journal that holds a million records of 100 bytes.
+func BenchmarkRecover1M(b *testing.B) {
+	dir := b.TempDir()
+	j, err := Open(dir, Options{Clock: clock.System()}, &counter{})
+	require.NoError(b, err)
+	record := make([]byte, 100)
+	var wait sync.WaitGroup
+	for range 1_000_000 {
+		wait.Add(1)
+		j.Start(record, func(uint64, error) { wait.Done() })
+	}
+	wait.Wait()
+	require.NoError(b, j.Close())
+	for b.Loop() {
+		c := &counter{}
+		_, err := Open(dir, Options{ReadOnly: true}, c)
+		require.NoError(b, err)
+		require.Equal(b, 1_000_000, c.n)
+	}
+}
--- /dev/null
+++ b/internal/store/bench_test.go
@@ -0,0 +1,30 @@
+package store
+
+import (
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// BenchmarkFailover is the time from the leader's loss to the first change that another member acknowledges, with the
+// time-outs of members near one another (150 ms).
+func BenchmarkFailover(b *testing.B) {
+	c := newCluster(b, "a", "b", "c")
+	took := hdrhistogram.New(1, 60_000, 3)
+	for range b.N {
+		lead := c.leader()
+		other := c.members[c.other(lead)]
+		began := time.Now()
+		c.members[lead].Kill()
+		for i := 0; other.Spend(string(rune('a'+i%26))+time.Now().String(), 9e15) != nil; i++ {
+		}
+		_ = took.RecordValue(time.Since(began).Milliseconds())
+		c.open(lead, Options{})
+	}
+	for _, s := range c.all() {
+		s.Kill()
+	}
+	b.ReportMetric(float64(took.ValueAtQuantile(50)), "p50-ms")
+	b.ReportMetric(float64(took.Max()), "max-ms")
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -18,14 +18,14 @@
 // patience bounds a wait; it is no expectation of speed.
 const patience = 60 * time.Second
 
-func eventually(t *testing.T, ok func() bool, what string) {
+func eventually(t testing.TB, ok func() bool, what string) {
 	t.Helper()
 	require.Eventually(t, ok, patience, 2*time.Millisecond, what)
 }
 
 // cluster is members on loopback, whose links can be cut.
 type cluster struct {
-	t    *testing.T
+	t    testing.TB
 	keys string
 	clk  *clock.Clock
 
@@ -37,7 +37,7 @@
 	links   map[[2]string][]net.Conn
 }
 
-func newCluster(t *testing.T, names ...string) *cluster {
+func newCluster(t testing.TB, names ...string) *cluster {
 	c := &cluster{
 		t: t, keys: t.TempDir(), clk: clock.System(), members: map[string]*Store{}, addrs: map[string]string{},
 		dirs: map[string]string{}, cut: map[[2]string]bool{}, links: map[[2]string][]net.Conn{},
@@ -162,7 +162,7 @@
 }
 
 // spendNew spends a new id. One whose try got no quorum may still be spent later, so each try has its own.
-func spendNew(t *testing.T, s *Store) (jti string) {
+func spendNew(t testing.TB, s *Store) (jti string) {
 	t.Helper()
 	n := 0
 	eventually(t, func() bool {
