Lock the buffer that takes the tortured program's log

make race reported the test's own log buffer, written by the process's pipe while the test read it. It has a lock now. Nothing of the program itself was reported; the other packages passed under the race detector.

--- a/cmd/ravenwheel/torture_test.go
+++ b/cmd/ravenwheel/torture_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -45,7 +46,7 @@
 	sock     string
 	listen   string
 	cmd      *exec.Cmd
-	logs     bytes.Buffer
+	logs     safeBuffer
 	gen      int
 	told     []fleet.Told
 	starts   []time.Duration // from the start to a request that can be taken
@@ -53,6 +54,19 @@
 	names map[policy.CacheID]policy.CacheID
 }
 
+// safeBuffer takes what a process writes while a test reads it.
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+func (s *safeBuffer) String() string { s.mu.Lock(); defer s.mu.Unlock(); return s.b.String() }
+
 // box is a stand-in, by the id that it has for itself; the list may give it others.
 const boxes = 6
 
