--- a/cmd/ravenlab/main.go
+++ b/cmd/ravenlab/main.go
@@ -8,7 +8,6 @@
 	"os/signal"
 	"syscall"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -25,7 +24,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	root := &cobra.Command{Use: "ravenlab", Short: "Stand-ins, load and experiments for ravenwheel", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(fleetCommand(), loadCommand(), demoCommand())
+	root.AddCommand(fleetCommand(), loadCommand(), demoCommand(), runCommand(), sweepCommand(), reportCommand(), shrinkCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "ravenlab:", err)
 		os.Exit(1)
@@ -67,24 +66,31 @@
 func loadCommand() *cobra.Command {
 	o := load.Options{Clock: clock.System(), Classes: standardClasses}
 	var perS, seconds float64
+	var course, crowd string
 	cmd := &cobra.Command{
 		Use: "load", Short: "Send traffic to a proxy for a while and say what became of it", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			c := load.New(o)
-			defer c.Close()
-			tick := time.NewTicker(time.Duration(float64(time.Second) / perS))
-			defer tick.Stop()
-			end := time.After(time.Duration(seconds * float64(time.Second)))
-			for run := true; run; {
-				select {
-				case <-tick.C:
-					c.Ask()
-				case <-end:
-					run = false
-				case <-cmd.Context().Done():
-					run = false
+			phases := []load.Phase{{Seconds: seconds, From: perS, To: perS}}
+			var err error
+			if course != "" {
+				if phases, err = load.ParsePhases(course); err != nil {
+					return err
+				}
+			}
+			if crowd != "" {
+				habits, err := load.ParseBad(crowd)
+				if err != nil {
+					return err
 				}
+				bad := load.Misbehave(o.Addr, habits, o.Clock)
+				defer func() {
+					bad.Stop()
+					fmt.Fprintf(cmd.OutOrStdout(), "misbehaved on %d connections, of which the proxy ended %d\n", bad.Opened.Load(), bad.Ended.Load())
+				}()
 			}
+			c := load.New(o)
+			defer c.Close()
+			c.Pace(cmd.Context(), phases)
 			c.Wait()
 			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', tabwriter.AlignRight)
 			fmt.Fprintln(w, "class\tasked\tserved\trefused\tfailed\tlost\tp50 ms\tp99 ms\t")
@@ -104,6 +110,8 @@
 	cmd.Flags().StringVar(&o.Addr, "addr", "127.0.20.100:4100", "the proxy's address")
 	cmd.Flags().Float64Var(&perS, "per-s", 150, "requests a second")
 	cmd.Flags().Float64Var(&seconds, "seconds", 10, "for how long")
+	cmd.Flags().StringVar(&course, "phases", "", "a course of rates in place of these: 10:50-200,5:400")
+	cmd.Flags().StringVar(&crowd, "misbehave", "", "clients that misbehave beside it: idle=100,half=20,noise=5,claim=5,leave=20")
 	cmd.Flags().IntVar(&o.Conns, "conns", 8, "connections")
 	cmd.Flags().IntVar(&o.Objects, "objects", 400, "objects to draw from")
 	cmd.Flags().IntVar(&o.Retries, "retries", 3, "of a request that was refused")
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,130 @@
+package experiment_test
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/lab/experiment"
+	"ravenwheel/internal/lab/report"
+	"ravenwheel/internal/lab/sim"
+)
+
+const small = `{
+  // ten seconds, three scenarios, two values each
+  "name": "small", "seconds": 4, "seeds": 2,
+  "variants": {"more": {"/fleet/caches": 5, "/troubles": [{"at_s": 1, "for_s": 1, "kind": "hang", "size": 0.1}]}},
+  "sweep": {"/traffic/per_s": [20, 40]},
+}`
+
+func TestParse(t *testing.T) {
+	e, bad := experiment.Parse("f", []byte(small))
+	require.NoError(t, bad.Err())
+	require.Equal(t, 2, e.Seeds)
+	var names []string
+	for _, v := range e.Variants {
+		names = append(names, v.Name)
+	}
+	require.Equal(t, []string{"base, /traffic/per_s 20", "base, /traffic/per_s 40", "more, /traffic/per_s 20", "more, /traffic/per_s 40"}, names)
+	require.Equal(t, 5, e.Variants[2].Spec.Fleet.Caches)
+	require.Equal(t, "hang", e.Variants[3].Spec.Troubles[0].Kind)
+	for text, want := range map[string]string{
+		`{`:                                      "f:1:2: ends too early: parsing value: unexpected EOF",
+		`{"seeds": 0}`:                           "f: seeds is not 1 to 1000",
+		`{"second": 4}`:                          `f:1:2: unknown field "second"; did you mean "seconds"?`,
+		`{"sweep": {"/traffic/per_s": "x"}}`:     "f: sweep wants one pointer with a list of values",
+		`{"variants": {"a": {"/nothing/x": 1}}}`: `f:1:2: unknown field "nothing"`,
+		`{"variants": []}`:                       "f: variants wants an object",
+	} {
+		_, bad := experiment.Parse("f", []byte(text))
+		require.Error(t, bad.Err(), text)
+		require.Contains(t, bad.Error(), want[:min(len(want), 30)], text)
+	}
+}
+
+// The files of the library can be used, all of them.
+func TestLibrary(t *testing.T) {
+	files, err := filepath.Glob("../../../lab/*.jsonc")
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(files), 9)
+	for _, path := range files {
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		_, bad := experiment.Parse(path, text)
+		require.NoError(t, bad.Err())
+	}
+}
+
+// A sweep that was stopped goes on where it was, and ends with what it would have had at once; the report of equal runs
+// is equal.
+func TestResume(t *testing.T) {
+	e, bad := experiment.Parse("f", []byte(small))
+	require.NoError(t, bad.Err())
+	path := filepath.Join(t.TempDir(), "runs.jsonl")
+	ctx, stop := context.WithCancel(context.Background())
+	err := e.Do(ctx, nil, 2, func(r experiment.Run, n, of int) {
+		require.Equal(t, 8, of)
+		require.NoError(t, experiment.Append(path, r))
+		if n == 3 {
+			stop()
+		}
+	})
+	require.ErrorIs(t, err, context.Canceled)
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_WRONLY, 0)
+	require.NoError(t, err)
+	_, err = f.WriteString(`{"variant": "base, /traf`) // and was cut off in the middle of a line
+	require.NoError(t, err)
+	require.NoError(t, f.Close())
+	done, err := experiment.Load(path)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(done), 3)
+	runs := done
+	require.NoError(t, e.Do(context.Background(), done, 3, func(r experiment.Run, _, _ int) { runs = append(runs, r) }))
+	require.Len(t, runs, 8)
+	whole := map[string]string{}
+	require.NoError(t, e.Do(context.Background(), nil, 1, func(r experiment.Run, _, _ int) {
+		raw, _ := json.Marshal(r.Result)
+		whole[r.Variant+string(rune(r.Seed))] = string(raw)
+	}))
+	for _, r := range runs {
+		raw, err := json.Marshal(r.Result)
+		require.NoError(t, err)
+		require.Equal(t, whole[r.Variant+string(rune(r.Seed))], string(raw), "whatever runs beside it")
+	}
+	page := filepath.Join(t.TempDir(), "r.html")
+	w, err := os.Create(page)
+	require.NoError(t, err)
+	require.NoError(t, report.Write(w, "small & <b>", runs))
+	require.NoError(t, w.Close())
+	text, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Contains(t, string(text), "small &amp; &lt;b&gt;")
+	require.Contains(t, string(text), "<svg")
+}
+
+// A scenario in which a rule breaks is made smaller while it does: a cold cache that bears next to nothing is pushed over.
+func TestShrink(t *testing.T) {
+	s := sim.Default()
+	s.Seconds, s.Fleet.FallsAt, s.Fleet.FallsIn, s.Fleet.ColdFrom = 24, 1, 50, 0.05
+	s.Troubles = []sim.Trouble{{At: 1, For: 2, Kind: "burst", Size: 2}, {At: 2, For: 2, Kind: "branch_lost"}, {At: 5, For: 2, Kind: "hang"}}
+	tried := 0
+	got, err := experiment.Shrink(context.Background(), s, 2, func(sim.Spec, bool) { tried++ })
+	require.NoError(t, err)
+	require.Less(t, len(got.Troubles), 3)
+	require.Equal(t, "branch_lost", got.Troubles[len(got.Troubles)-1].Kind)
+	require.Greater(t, tried, 3)
+	_, err = experiment.Shrink(context.Background(), sim.Spec{Seconds: 1, Traffic: sim.Default().Traffic, Fleet: sim.Default().Fleet}, 1, func(sim.Spec, bool) {})
+	require.ErrorContains(t, err, "no rule breaks")
+}
+
+func TestBootstrap(t *testing.T) {
+	f := report.Bootstrap([]float64{1, 2, 3, 4, 5, 6, 7, 8})
+	require.Equal(t, 4.5, f.Mean)
+	require.InDelta(t, 4.5-1.96*0.81, f.Low, 0.25)
+	require.InDelta(t, 4.5+1.96*0.81, f.High, 0.25)
+	require.Equal(t, "2", report.Bootstrap([]float64{2, 2}).String())
+}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -93,7 +93,10 @@
 func (c *Client) Ask() { c.AskThen(func() {}) }
 
 // AskThen sends one request, drawn at random, and calls done once its last try is over.
-func (c *Client) AskThen(done func()) {
+func (c *Client) AskThen(done func()) { c.askAt(c.opt.Clock.Now(), done) }
+
+// askAt sends one whose time counts from when it was due.
+func (c *Client) askAt(due float64, done func()) {
 	c.mu.Lock()
 	total := 0.0
 	for _, k := range c.opt.Classes {
@@ -107,7 +110,7 @@
 		}
 		pick -= k.Share
 	}
-	q := &request{class: class, object: Object(c.zip.Uint64()), began: c.opt.Clock.Now(), done: done}
+	q := &request{class: class, object: Object(c.zip.Uint64()), began: due, done: done}
 	if class.Parts > 1 {
 		q.part = c.rng.IntN(class.Parts)
 	}
--- /dev/null
+++ b/internal/lab/sim/result.go
@@ -0,0 +1,98 @@
+package sim
+
+import (
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Window is a second of a run, by when requests were first wanted.
+type Window struct {
+	Asked  float64 `json:"asked"`  // worth
+	Served float64 `json:"served"` // worth
+	Wants  int     `json:"wants"`
+	Tries  int     `json:"tries"`
+	Origin int     `json:"origin"` // fills that the origin gave
+}
+
+// ClassResult is what became of one class.
+type ClassResult struct {
+	Name   string  `json:"name"`
+	Wants  int     `json:"wants"`
+	Served int     `json:"served"`
+	Lost   int     `json:"lost"`
+	Asked  float64 `json:"asked_worth"`
+	Got    float64 `json:"served_worth"`
+	P50    float64 `json:"p50_ms"`
+	P99    float64 `json:"p99_ms"`
+}
+
+// Result is what became of a run. Equal scenarios and seeds give equal ones, to the byte.
+type Result struct {
+	Name     string        `json:"name"`
+	Seed     uint64        `json:"seed"`
+	Worth    float64       `json:"worth"`    // served over asked
+	Worst10s float64       `json:"worst"`    // the same in the worst ten seconds
+	Tries    float64       `json:"tries"`    // of clients, a want
+	Attempts float64       `json:"attempts"` // of proxies, a try
+	HitShare float64       `json:"hits"`
+	Origin   int           `json:"origin_fills"`
+	Refused  int           `json:"refused"`
+	Failed   int           `json:"failed"`
+	Missed   int           `json:"missed"` // tries that no answer came to in time
+	Probes   int           `json:"probes"`
+	Events   uint64        `json:"events"`
+	Broken   int           `json:"broken"`
+	Rules    []string      `json:"rules,omitempty"`
+	Classes  []ClassResult `json:"classes"`
+	Windows  []Window      `json:"windows"`
+	Loads    []float64     `json:"loads"` // KB that each cache sent, by id
+
+	spec     Spec
+	hist     []*hdrhistogram.Histogram
+	tries    int
+	attempts int
+	probes   int
+	hits     int
+	answers  int
+	at       func() float64
+}
+
+func newResult(s Spec, seed uint64) *Result {
+	r := &Result{Name: s.Name, Seed: seed, spec: s, Windows: make([]Window, int(s.Seconds)+1)}
+	for _, c := range s.Traffic.Classes {
+		r.Classes = append(r.Classes, ClassResult{Name: c.Name})
+		r.hist = append(r.hist, hdrhistogram.New(1, 600_000_000, 3))
+	}
+	return r
+}
+
+func (r *Result) window(ms float64) *Window {
+	return &r.Windows[min(len(r.Windows)-1, max(0, int(ms/1000)))]
+}
+
+func (r *Result) asked(class int, at, worth float64) {
+	w := r.window(at)
+	w.Asked += worth
+	w.Wants++
+	r.Classes[class].Wants++
+	r.Classes[class].Asked += worth
+}
+
+func (r *Result) served(class int, first, took, worth float64) {
+	r.window(first).Served += worth
+	r.Classes[class].Served++
+	r.Classes[class].Got += worth
+	_ = r.hist[class].RecordValue(max(1, int64(took*1000)))
+}
+
+func (r *Result) lost(class int) { r.Classes[class].Lost++ }
+
+func (r *Result) turned(v verdict) {
+	switch v {
+	case refused:
+		r.Refused++
+	case failed:
+		r.Failed++
+	case missed:
+		r.Missed++
+	}
+}
