--- a/cmd/ravenlab/experiments.go
+++ b/cmd/ravenlab/experiments.go
@@ -16,6 +16,7 @@
 	"ravenwheel/internal/lab/experiment"
 	"ravenwheel/internal/lab/report"
 	"ravenwheel/internal/lab/sim"
+	"ravenwheel/internal/lab/validate"
 )
 
 func readExperiment(path string) (*experiment.Experiment, error) {
@@ -213,3 +214,18 @@
 	cmd.Flags().StringVar(&variant, "variant", "", "which (default: the first)")
 	return cmd
 }
+
+func validateCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "validate", Short: "Hold the lab's model against the real proxy on sockets: under a minute, on loopback", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			relations, err := validate.Run(cmd.Context(), func(text string) { fmt.Fprintln(os.Stderr, text) })
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 4, 2, ' ', 0)
+			fmt.Fprintln(w, "relation\tsockets\tlab\tdifference")
+			for _, r := range relations {
+				fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%+.3f\n", r.Name, r.Sockets, r.Lab, r.Off())
+			}
+			return errors.Join(err, w.Flush())
+		},
+	}
+}
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -60,6 +60,7 @@
 	Probe   bool
 	Write   bool
 	Answer  string
+	Why     string  // how the answer came about, as it is told
 	Stamp   float64 // of the copy that was served
 	Address string
 }
@@ -196,10 +197,10 @@
 	return len(f.seen) - 1
 }
 
-func (f *Fleet) answered(at int, word string, stamp float64) {
+func (f *Fleet) answered(at int, word, why string, stamp float64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.seen[at].Answer, f.seen[at].Stamp = word, stamp
+	f.seen[at].Answer, f.seen[at].Why, f.seen[at].Stamp = word, why, stamp
 }
 
 // Counts are how many attempts each server saw, by id.
--- a/internal/lab/fleet/server.go
+++ b/internal/lab/fleet/server.go
@@ -198,7 +198,7 @@
 		s.mu.Lock()
 		s.open--
 		s.mu.Unlock()
-		f.answered(at, word, stamp)
+		f.answered(at, word, why, stamp)
 		if word == "" {
 			return
 		}
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -132,7 +132,7 @@
 		if w.Asked == 0 {
 			return 1
 		}
-		return w.Served / w.Asked
+		return w.Got / w.Asked
 	}
 	low := 0
 	for i, w := range r.Windows {
@@ -271,7 +271,7 @@
 		if x.Asked == 0 {
 			return 1
 		}
-		return x.Served / x.Asked
+		return x.Got / x.Asked
 	}
 	for _, err := range []error{
 		add(overTime("Worth served of what was asked", "share", runs, share)),
--- a/internal/lab/sim/clients.go
+++ b/internal/lab/sim/clients.go
@@ -213,6 +213,10 @@
 				}
 			})
 		}
+	case "empty":
+		for _, s := range caches {
+			s.store.empty()
+		}
 	case "hub_lost":
 		w.lose(w.hubs[rng.IntN(len(w.hubs))], t.For)
 	case "branch_lost":
--- a/internal/lab/sim/result.go
+++ b/internal/lab/sim/result.go
@@ -7,10 +7,12 @@
 // Window is a second of a run, by when requests were first wanted.
 type Window struct {
 	Asked  float64 `json:"asked"`  // worth
-	Served float64 `json:"served"` // worth
+	Got    float64 `json:"served"` // worth
 	Wants  int     `json:"wants"`
 	Tries  int     `json:"tries"`
 	Origin int     `json:"origin"` // fills that the origin gave
+	Hits   int     `json:"hits"`
+	Served int     `json:"answers"`
 }
 
 // ClassResult is what became of one class.
@@ -34,6 +36,7 @@
 	Tries    float64       `json:"tries"`    // of clients, a want
 	Attempts float64       `json:"attempts"` // of proxies, a try
 	HitShare float64       `json:"hits"`
+	Slow     float64       `json:"slow"` // share of wants that were not served within their target
 	Origin   int           `json:"origin_fills"`
 	Refused  int           `json:"refused"`
 	Failed   int           `json:"failed"`
@@ -52,6 +55,7 @@
 	attempts int
 	probes   int
 	hits     int
+	quick    int
 	answers  int
 	at       func() float64
 }
@@ -78,7 +82,10 @@
 }
 
 func (r *Result) served(class int, first, took, worth float64) {
-	r.window(first).Served += worth
+	r.window(first).Got += worth
+	if took <= r.spec.Traffic.Classes[class].Target {
+		r.quick++
+	}
 	r.Classes[class].Served++
 	r.Classes[class].Got += worth
 	_ = r.hist[class].RecordValue(max(1, int64(took*1000)))
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -65,8 +65,11 @@
 // note books how an answer came about.
 func (r *Result) note(_ int, n policy.Note) {
 	r.answers++
+	w := r.window(r.at())
+	w.Served++
 	if n == policy.NoteHit {
 		r.hits++
+		w.Hits++
 	}
 }
 
@@ -74,13 +77,13 @@
 	r := w.out
 	asked, got := 0.0, 0.0
 	for _, x := range r.Windows {
-		asked, got = asked+x.Asked, got+x.Served
+		asked, got = asked+x.Asked, got+x.Got
 	}
 	r.Worth, r.Worst10s = ratio(got, asked), 1
 	for i := 0; i+10 <= len(r.Windows); i++ {
 		a, g := 0.0, 0.0
 		for _, x := range r.Windows[i : i+10] {
-			a, g = a+x.Asked, g+x.Served
+			a, g = a+x.Asked, g+x.Got
 		}
 		if a > 0 {
 			r.Worst10s = min(r.Worst10s, g/a)
@@ -93,6 +96,9 @@
 		c.P50, c.P99 = float64(r.hist[i].ValueAtQuantile(50))/1000, float64(r.hist[i].ValueAtQuantile(99))/1000
 	}
 	r.Tries, r.Attempts = ratio(float64(r.tries), float64(wants)), ratio(float64(r.attempts), float64(r.tries))
+	if wants > 0 {
+		r.Slow = 1 - ratio(float64(r.quick), float64(wants))
+	}
 	r.HitShare, r.Probes, r.Events = ratio(float64(r.hits), float64(r.answers)), r.probes, w.done
 	r.Broken, r.Rules = w.check.count, w.check.broken
 	for _, s := range w.all {
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -215,7 +215,7 @@
 		`{"seconds": 0}`:                               "f:1:13: seconds 0 is not 0.1 to 86400",
 		`{"fleet": {"branches": 0}}`:                   "f:1:24: branches 0 is not 1 to 10000",
 		`{"fleet": {"brances": 3}}`:                    `f:1:12: unknown field "brances"; did you mean "branches"?`,
-		`{"troubles": [{"at_s": 1, "kind": "quake"}]}`: `f:1:35: kind "quake" is none of burst, purge, hang, hang_parents, hub_lost, branch_lost, origin_slow, roll`,
+		`{"troubles": [{"at_s": 1, "kind": "quake"}]}`: `f:1:35: kind "quake" is none of burst, purge, hang, hang_parents, hub_lost, branch_lost, origin_slow, roll, empty`,
 		`{"traffic": {"classes": []}}`:                 "f:1:25: classes is empty\nf:1:25: no class has a share",
 	} {
 		_, bad := Parse("f", []byte(text))
--- a/internal/lab/sim/spec.go
+++ b/internal/lab/sim/spec.go
@@ -55,6 +55,7 @@
 	PerS    float64 `json:"per_s"` // of each branch
 	Objects int     `json:"objects"`
 	Zipf    float64 `json:"zipf"`   // exponent of popularity
+	Shift   float64 `json:"shift"`  // added to ranks: the most popular stand out less
 	OneOff  float64 `json:"oneoff"` // share that is asked for once only
 	Classes []Class `json:"classes"`
 	Purges  float64 `json:"purges_per_s"`
@@ -99,8 +100,9 @@
 }
 
 // The kinds of trouble: traffic jumps; groups are purged at once; caches or parents take requests and answer none; a hub's
-// parents, or a branch's caches, are lost and come back empty; the origin slows down; all caches are replaced in turn.
-var troubleKinds = []string{"burst", "purge", "hang", "hang_parents", "hub_lost", "branch_lost", "origin_slow", "roll"}
+// parents, or a branch's caches, are lost and come back empty; the origin slows down; all caches are replaced in turn; all caches
+// lose their copies and nothing else.
+var troubleKinds = []string{"burst", "purge", "hang", "hang_parents", "hub_lost", "branch_lost", "origin_slow", "roll", "empty"}
 
 // Default is a fleet like the one that the program was made for.
 func Default() Spec {
@@ -166,6 +168,7 @@
 	within("traffic.per_s", s.Traffic.PerS, 0, 1e6)
 	count("traffic.objects", s.Traffic.Objects, 1, 1e7)
 	within("traffic.zipf", s.Traffic.Zipf, 0, 3)
+	within("traffic.shift", s.Traffic.Shift, 0, 1e6)
 	within("traffic.oneoff", s.Traffic.OneOff, 0, 1)
 	within("clients.honour", s.Clients.Honour, 0, 1)
 	count("clients.retries", s.Clients.Retries, 0, 20)
--- a/internal/lab/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -149,7 +149,7 @@
 	}
 	weights := make([]float64, spec.Traffic.Objects)
 	for i := range weights {
-		weights[i] = math.Pow(float64(i+1), -spec.Traffic.Zipf)
+		weights[i] = math.Pow(float64(i+1)+spec.Traffic.Shift, -spec.Traffic.Zipf)
 	}
 	w.objects = popularity{newAlias(weights), int32(spec.Traffic.Objects), spec.Traffic.OneOff}
 	w.purged = make([]purged, spec.Traffic.Objects)
