--- a/internal/lab/sim/proxy.go
+++ b/internal/lab/sim/proxy.go
@@ -123,7 +123,9 @@
 	w := p.w
 	a := &attempt{r: r, no: len(r.attempts), to: w.servers[g.Cache], src: w.servers[g.Source], sent: w.now, open: true}
 	r.attempts = append(r.attempts, a)
-	w.out.attempts++
+	if w.out.counts(r.want.first) {
+		w.out.attempts++
+	}
 	w.check.sent(a)
 	timeout := r.due - w.now
 	if g.Timeout > 0 {
