Cause a kill between append and answer; route the servers' own log through ours

It is now caused on purpose: the outcome is unknown, the same change id counts once however often it comes, another change for the same token is refused. net/http's servers still wrote to package log; they write to the structured log now.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 	go test ./internal/decide/serverlist -run XXX -fuzz FuzzParse -fuzztime 60s
 	go test ./internal/decide/recovery -run XXX -fuzz FuzzDecode -fuzztime 60s
 	go test ./internal/journal -run XXX -fuzz FuzzSegment -fuzztime 60s
+	go test ./internal/journal -run XXX -fuzz FuzzDirectory -fuzztime 60s
 
 bench:
 	go test -run XXX -bench . -benchmem ./policy ./internal/...
--- a/cmd/ravenwheel/operator.go
+++ b/cmd/ravenwheel/operator.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	front := signed.New(signed.Options{Audience: s.Audience, Leeway: s.LeewayMs, Clock: clk, Store: st, Core: c})
+	front := signed.New(signed.Options{Audience: s.Audience, Leeway: s.LeewayMs, Clock: clk, Store: st, Core: c, Log: log})
 	follow.signed = front
 	go follow.run()
 	go func() {
--- a/internal/front/signed/front.go
+++ b/internal/front/signed/front.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"io"
+	"log"
 	"math"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/logs"
 	"ravenwheel/internal/store"
 	"ravenwheel/policy"
 )
@@ -34,6 +36,7 @@
 	Clock    *clock.Clock
 	Store    *store.Store
 	Core     Doer
+	Log      *logs.Log // of what goes wrong below a request; nil: nowhere
 }
 
 // Front serves GET /CLASS/OBJECT[?part=N] with a signed link, and POST of the classes that write with a
@@ -55,7 +58,7 @@
 	f := &Front{verifier: verifier{clock: o.Clock, store: o.Store, audience: o.Audience}, core: o.Core}
 	f.SetLeeway(o.Leeway)
 	f.srv = &http.Server{
-		Handler: f, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 15 * time.Second, IdleTimeout: 30 * time.Second,
+		Handler: f, ErrorLog: log.New(o.Log.Lines("signed"), "", 0), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 15 * time.Second, IdleTimeout: 30 * time.Second,
 		MaxHeaderBytes: 32 << 10,
 	}
 	return f
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -342,3 +342,30 @@
 		}
 	})
 }
+
+// Whatever stands in a directory, opening it gives records or one clear error.
+func FuzzDirectory(f *testing.F) {
+	fs := vfs.NewSim(-1)
+	work(fs, 0, 10)
+	names, _ := fs.List("d")
+	for _, n := range names {
+		f.Add(fs.Bytes(filepath.Join("d", n)), strings.HasSuffix(n, ".snap"))
+	}
+	f.Fuzz(func(t *testing.T, b []byte, snapshot bool) {
+		fs := vfs.NewSim(-1)
+		require.NoError(t, fs.MkdirAll("d"))
+		name := segmentName(1)
+		if snapshot {
+			name = snapshotName(7)
+		}
+		file, err := fs.Create(filepath.Join("d", name))
+		require.NoError(t, err)
+		_, err = file.Write(b)
+		require.NoError(t, err)
+		o := options(fs)
+		o.ReadOnly = true
+		if _, err = Open("d", o, &model{}); err != nil {
+			require.NotContains(t, err.Error(), "\n")
+		}
+	})
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -244,6 +245,31 @@
 	}
 }
 
+// The leader has a change in its log and is killed before it could answer. The caller is told that the outcome is not
+// known; the same change under its own id counts once, however often it comes; another one for the same thing is refused.
+func TestKilledBeforeTheAnswer(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	lead := c.leader()
+	s := c.members[lead]
+	require.NoError(t, s.PutKey("k", Key{Alg: "HS256"}))
+	c.isolate(lead, true) // what it appends now, no other member has
+	change := replica.Change{ID: "one", Kind: replica.Spend, Name: "j", Until: 9e15}
+	before, outcome := s.raft.LastIndex(), make(chan error, 1)
+	go func() { _, err := s.Do(change); outcome <- err }()
+	eventually(t, func() bool { return s.raft.LastIndex() > before }, "it is in the leader's log")
+	s.Kill()
+	require.ErrorIs(t, <-outcome, ErrUnknown)
+	c.isolate(lead, false)
+	next := c.members[c.leader()]
+	c.open(lead, Options{})
+	for range 3 {
+		var err error
+		eventually(t, func() bool { _, err = next.Do(change); return !errors.Is(err, ErrUnavailable) }, "a quorum")
+		require.NoError(t, err)
+	}
+	require.ErrorIs(t, next.Spend("j", 9e15), ErrSpent)
+}
+
 // A member that is cut off goes on answering reads, and says how stale they are; it acknowledges nothing, and what it
 // could not bring through is either in or not, never twice.
 func TestMinority(t *testing.T) {
