Bound what a fleet sends the origin: parts of its limit, held-only fills while it is jammed

Ruled out: caches (hits kept 45 ms throughout), links of locations (fills that parents held kept 14 ms to the first byte), connections (50 failed connects in all), processor (0.01 s in the busiest second). At fault: the limit of a source started at 16 for each router whatever their number, so that 80 of them had room for 1,280 fills, and adapt() left it alone below half; walk() never asked the origin's limit for a fill by a parent; learn() passed over a parent's refusals and origin faults, and spared a source with under 0.7 of the fills (mainSource). Change: a source's limit starts at half of the router's part of its caches' links; while the origin's is taken, parents are asked for what they hold alone; refusals, origin faults and time-outs lower source and origin, answers in time raise both.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -12,6 +12,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -40,18 +41,16 @@
 	// it sooner and spares the others; a longer one spares it. rampElse: where no warming time is told.
 	rampFrom, rampPart, rampElse = 0.1, 0.6, 10 * time.Second
 	// limitStart, limitLeast: attempts that all routers of the location let themselves have out at a cache,
-	// or fills on its link, at first and at least; each has its part. sourceStart, sourceLeast: the same for
-	// one router at a parent or the origin. limitShrink is what a late answer leaves of a limit; one in time
-	// adds limitRaise of it, or limitStep for as many answers as it has places. An answer speaks for the time
-	// since the one before it, as often as limitEvery fits, limitSpeaks times at most: a router that sees one
-	// in seconds would learn too late. A lower limit serves fewer in time rather than more too late.
-	limitStart, limitLeast   = 16.0, 9.0
-	sourceStart, sourceLeast = 16.0, 0.1
-	limitShrink, limitRaise  = 0.9, 0.1
-	limitStep                = 2.0
-	// mainSource: a source with more than this part of the fills under way shares the blame for one that
-	// timed out with the origin behind it. Lower relieves parents sooner, and shuts them for a slow origin.
-	mainSource = 0.7
+	// or fills on its link, at first and at least; each has its part. sourceStart, sourceLeast: fills of one
+	// router at a parent or the origin; it starts with sourcePart of its part of its caches' links, or eighty
+	// routers would have room for a jam before one of them meets its limit. limitShrink is what a late answer
+	// leaves of a limit; one in time adds limitRaise of it, or limitStep for all its places. An answer speaks
+	// for the time since the last, in limitEvery, limitSpeaks times at most: one that sees few would learn
+	// too late. A lower limit serves fewer in time, not more too late.
+	limitStart, limitLeast               = 16.0, 9.0
+	sourceStart, sourceLeast, sourcePart = 16.0, 0.1, 0.5
+	limitShrink, limitRaise              = 0.9, 0.1
+	limitStep                            = 2.0
 	// usualLink: the limits above are in places of caches whose links hold so many transfers. Where those
 	// told hold more, a place stands for as many more, and one answer speaks for that much less of a limit:
 	// a few late ones a second would else keep the limits of a large fleet at those of a small one.
@@ -411,6 +410,7 @@
 		}
 		return h, HeldOnly, nil
 	}
+	jammed := r.origin != nil && r.crowded(q, r.origin, r.places(r.origin))
 	for _, p := range rendezvous(r.parents, q.home, r.set.WeightsTold) {
 		if p.State != Ready || has(q.bad, p) || r.crowded(q, p, r.places(p)) || !r.affords(p) {
 			continue
@@ -421,11 +421,13 @@
 			}
 			continue
 		}
-		if r.inRamp(p, q.home) {
+		if r.inRamp(p, q.home) && jammed {
+			return p, HeldOnly, nil // what it lacks would wait at the origin, and be given up there
+		} else if r.inRamp(p, q.home) {
 			return p, 0, nil
 		}
 	}
-	if r.origin.usable() && !has(q.bad, r.origin) && !r.crowded(q, r.origin, r.places(r.origin)) {
+	if r.origin.usable() && !has(q.bad, r.origin) && !jammed {
 		return r.origin, 0, nil
 	}
 	return nil, 0, nil
@@ -614,19 +616,20 @@
 	if o.Note == NoteNoPlace {
 		r.adapt(r.link, true)
 	}
-	if o.Note == NoteFilledOrigin && r.origin != nil {
-		decided = r.origin
+	if o.Note == NoteFilledOrigin && a.deep != nil {
+		decided = a.deep
+		if !a.late {
+			r.adapt(a.source, false)
+		}
 	}
-	switch {
+	switch turned := o.Note == NoteSourceRefused || o.Note == NoteOriginFailed; {
 	case o.Result == OK:
 		r.adapt(decided, a.late)
-	case o.Result == TimedOut && a.deep != nil && a.to.lastAnswer > a.sent:
-		r.adapt(a.deep, true) // a cache that answers others waits for the source
-		if float64(a.source.fills) > mainSource*float64(r.link.fills) {
-			r.adapt(a.source, true)
+	case a.source != nil && (turned || o.Result == TimedOut && a.to.lastAnswer > a.sent):
+		r.adapt(a.source, true) // and the origin behind it: whose doing it was, what others answer shows
+		if a.deep != nil {
+			r.adapt(a.deep, true)
 		}
-	case o.Note == NoteSourceRefused && a.source != nil:
-		r.adapt(a.source, true) // whoever is full is over its limit, at first or second hand
 	case o.Result == TimedOut || a.to.fullUntil > r.now:
 		r.adapt(a.to, true)
 	}
@@ -765,11 +768,11 @@
 	warmth := float64(max(0, r.now-t.cold-f.Within)) / float64(f.WarmWithin)
 	capacity := f.ColdFrom + (1-f.ColdFrom)*min(1, warmth)
 	// At least one attempt of the longest class a window for all routers: with no history one can still try.
-	least := r.longest() / float64(r.sharers(t)) / f.Within.Seconds()
+	least := slices.Max(r.meanSend) / float64(r.sharers(t)) / f.Within.Seconds()
 	part := max(budgetSafety*f.Multiple*capacity*r.linkPart(t), least)
 	most := part * f.Within.Seconds() * budgetBurst
 	t.credit, t.creditAt = t.credit+part*(r.now-t.creditAt).Seconds(), r.now
-	if turn := r.longest(); most < turn && t.credit > most {
+	if turn := slices.Max(r.meanSend); most < turn && t.credit > most {
 		t.credit -= turn * math.Ceil((t.credit-most)/turn)
 	}
 	t.credit = min(t.credit, most)
@@ -779,15 +782,7 @@
 // chill starts the budget of one that is taken as cold from a time on.
 func (r *Router) chill(t *target, from Time) {
 	r.rng = mix(r.rng)
-	t.cold, t.colds, t.credit, t.creditAt = from, true, -unit(r.rng)*r.longest(), r.now
-}
-
-// longest is the mean sending time of the longest class.
-func (r *Router) longest() (most float64) {
-	for _, m := range r.meanSend {
-		most = max(most, m)
-	}
-	return most
+	t.cold, t.colds, t.credit, t.creditAt = from, true, -unit(r.rng)*slices.Max(r.meanSend), r.now
 }
 
 // linkPart is this router's part of a target's link, in transfers: as told, else the most that its role
@@ -870,6 +865,11 @@
 			total += c.Weight
 		}
 		r.scale = max(1, total/float64(len(r.caches))/usualLink)
+		for _, t := range r.order {
+			if t.heard == 0 && t.role != edge {
+				t.limit = min(sourceStart, sourcePart*total/float64(r.sharers(r.caches[0])))
+			}
+		}
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -460,30 +460,65 @@
 	}
 }
 
-// Fills that time out while their cache answers others lower the limit of the parent that has them all, as well
-// as the origin's: once a lone parent was asked for more and more that it could not send in time.
-func TestLoneParentTimesOut(t *testing.T) {
-	for _, gone := range []bool{true, false} {
-		s := start(t, settings(), fleet())
-		if gone {
-			s.on(Members{Kind: ListChanges, Entries: []Member{{ID: 12, Kind: 1, State: Gone, Weight: 20}}})
+// A parent that answers a quarter of its fills never trips the count of silence, and had its limit kept while
+// another parent took as many: eighty routers went on waiting at it. Time-outs blame the parent and the origin
+// behind it; what others answer in time clears the origin.
+func TestSlowParentLosesItsPlaces(t *testing.T) {
+	s := start(t, settings(), fleet())
+	slow, origin := s.r.known[11], s.r.origin
+	slow.limit, origin.limit = 4, 4
+	before := origin.limit
+	for i := range 24 {
+		id := fmt.Sprint(i)
+		g := s.get(s.on(req(id, fmt.Sprint("o", i))))
+		switch s.now += 200 * ms; {
+		case g.Source == 11:
+			s.r.known[g.Cache].lastAnswer = s.now
+			s.on(Outcome{ID: id, Cache: g.Cache, Result: TimedOut, Latency: 2900 * ms})
+		default:
+			s.answer(id, g, NoteFilledOrigin, 50*ms)
 		}
-		for i := range 14 {
-			s.on(req(fmt.Sprint(i), fmt.Sprint("o", i)))
+	}
+	if slow.limit >= 3 || origin.limit < before {
+		t.Errorf("limits: %v of the slow parent, %v of the origin, from 4 and %v", slow.limit, origin.limit, before)
+	}
+}
+
+// A fleet of routers whose parents are asked for more than the origin bears: each asks them for what they hold
+// alone once its own part of the origin is taken, whether it is one of three or of three hundred.
+func TestJammedOriginLeavesParentsTheirHits(t *testing.T) {
+	for _, routers := range []int{1, 3, 300} {
+		set, list := settings(), fleet()
+		set.Routers, set.ZoneRouters, set.WeightsTold = routers, []int{0, 0, routers}, true
+		s := start(t, set, list)
+		for _, c := range s.r.caches {
+			c.limit = limitStart // the origin's limit alone is looked at
 		}
-		s.now += 2900 * ms
-		s.r.known[11].limit, s.r.origin.limit = 4, 0.5 // both have what they are let have
-		timedOut := 0
-		for i := range 14 {
-			a := s.r.reqs[fmt.Sprint(i)].attempts[0]
-			if a.to.lastAnswer = s.now; a.source.ID == 11 {
-				s.on(Outcome{ID: fmt.Sprint(i), Cache: a.to.ID, Result: TimedOut, Latency: 2900 * ms})
-				timedOut++
-			}
+		s.r.link.limit, s.r.known[11].limit, s.r.known[12].limit = limitStart, limitStart, limitStart
+		if most := sourceStart; s.r.origin.limit > most || s.r.origin.limit > 40/float64(routers) {
+			t.Errorf("%d routers: each starts with %v fills at the origin", routers, s.r.origin.limit)
 		}
-		lone, deep := s.r.known[11].limit, s.r.origin.limit
-		if timedOut == 0 || deep >= 0.5 || (lone < 4) != gone {
-			t.Errorf("other parent gone %v: limits %v of the parent, %v of the origin after %d", gone, lone, deep, timedOut)
+		s.r.origin.limit = 0.01
+		g := s.get(s.on(req("a", "o")))
+		if g.How&HeldOnly == 0 {
+			t.Errorf("%d routers: a fill went to the origin behind %d while it was jammed", routers, g.Source)
+		}
+		s.r.origin.limit = sourceStart
+		if g = s.get(s.on(req("b", "o"))); g.How&HeldOnly != 0 {
+			t.Errorf("%d routers: the origin is free, and the fill may not use it", routers)
+		}
+	}
+}
+
+// Whose limit falls when a parent refuses, or says that the origin failed: its own and the origin's.
+func TestRefusalSpeaksForTheOrigin(t *testing.T) {
+	for _, note := range []Note{NoteSourceRefused, NoteOriginFailed} {
+		s := start(t, settings(), fleet())
+		g := s.get(s.on(req("a", "o")))
+		s.r.origin.limit, s.r.known[g.Source].limit = 0.5, 1
+		s.on(Outcome{ID: "a", Cache: g.Cache, Result: Full, Note: note})
+		if s.r.origin.limit >= 0.5 || s.r.known[g.Source].limit >= 1 {
+			t.Errorf("note %v: limits %v of the origin, %v of the parent", note, s.r.origin.limit, s.r.known[g.Source].limit)
 		}
 	}
 }
