Learn from an attempt once its aim has passed, and from seldom answers sooner

A proxy asks one parent 0.7 times a second; it learned at the time-out, 1.2 to 2.4 s after the send, and eight late answers were needed from 2.5 places to 0.1. Ruled out: the origin (answers by it 110 ms throughout), cold caches, failed connects (25 of 20,000 attempts). At fault: the blame stood in learn(), which runs when an attempt ends; limitSpeaks let an answer speak for 0.4 s alone. Change: overdue() books and blames at the aim; an answer speaks for up to 0.8 s of silence before it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,7 +56,7 @@
 	// told hold more, a place stands for as many more, and one answer speaks for that much less of a limit:
 	// a few late ones a second would else keep the limits of a large fleet at those of a small one.
 	usualLink               = 8.0
-	limitEvery, limitSpeaks = 100 * time.Millisecond, 4.0
+	limitEvery, limitSpeaks = 100 * time.Millisecond, 8.0
 	// lowStanding: the part of a limit open to classes that earn little for their sending time. Lower
 	// serves more small answers in a jam, and fewer large ones.
 	lowStanding = 0.75
@@ -464,6 +464,16 @@
 // answered nothing since, else the source.
 func (r *Router) overdue(a *attempt) {
 	a.late = true
+	worst := a.to // whose doing it is: of cache, parent and origin the one that has most overdue
+	for _, t := range []*target{a.to, a.source, a.deep} {
+		if t != nil {
+			t.lateShare.learn(true, failGain)
+			if t.lateShare > worst.lateShare {
+				worst = t
+			}
+		}
+	}
+	r.adapt(worst, true)
 	if a.to.lastAnswer < a.sent {
 		r.unanswered(a.to)
 	} else if a.source != nil && a.source != a.to {
@@ -625,15 +635,6 @@
 			r.adapt(a.source, false)
 		}
 	}
-	worst := a.to // whose time-outs these are: of cache, parent and origin the one that has the most of them
-	for _, t := range []*target{a.to, a.source, a.deep} {
-		if t != nil && o.Result == TimedOut {
-			t.lateShare.learn(true, failGain)
-			if t.lateShare > worst.lateShare {
-				worst = t
-			}
-		}
-	}
 	switch turned := o.Note == NoteSourceRefused || o.Note == NoteOriginFailed; {
 	case o.Result == OK:
 		r.adapt(decided, a.late)
@@ -642,8 +643,8 @@
 		if a.deep != nil {
 			r.adapt(a.deep, true)
 		}
-	case o.Result == TimedOut || a.to.fullUntil > r.now:
-		r.adapt(worst, true)
+	case a.to.fullUntil > r.now:
+		r.adapt(a.to, true)
 	}
 	if o.Note == NoteSourceLacks {
 		r.memory.put(place{q.Object, q.Part}, holder{})
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -497,6 +498,32 @@
 	}
 }
 
+// A router that sees a parent once a second learned of its silence when the clients had left, two seconds later:
+// an attempt speaks once its aim has passed, and for the silence before it.
+func TestOverdueSpeaksAtOnce(t *testing.T) {
+	s := start(t, settings(), fleet())
+	slow := s.r.known[11]
+	slow.limit, slow.lateShare, slow.heard = 1.5, 0.5, s.now
+	for i := range 8 {
+		acts := s.on(req(fmt.Sprint(i), fmt.Sprint("o", i)))
+		g, sent := find[Get](acts)
+		if !sent || g.Source != 11 {
+			continue
+		}
+		s.now = slow.heard + 2*time.Second
+		for token, due := range s.r.timers {
+			if due.kind == atAim {
+				s.on(Timer{Token: token})
+			}
+		}
+		if want := 1.5 * math.Pow(limitShrink, limitSpeaks/s.r.scale); math.Abs(slow.limit-want) > 1e-9 {
+			t.Errorf("overdue after 2 s of silence, the limit is %v, want %v", slow.limit, want)
+		}
+		return
+	}
+	t.Fatal("no fill went to parent 11")
+}
+
 // A fleet of routers whose parents are asked for more than the origin bears: each asks them for what they hold
 // alone once its own part of the origin is taken, whether it is one of three or of three hundred.
 func TestJammedOriginLeavesParentsTheirHits(t *testing.T) {
