Let only fills in time clear a source of blame, and keep 0.2 fills at a source at least

Ruled out: the locations' links (hits in 27 ms), the cold budgets (parents were back at 14 s only). At fault: answered() took a look in vain for an answer in time, so the jammed parent's share of overdue fills fell below the origin's and the origin was blamed; and sourceLeast 0.1 let a proxy try the origin once in ten seconds. Change: learn() clears a source by a fill in time alone; sourceLeast 0.2, 16 fills for eighty proxies.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,7 +49,7 @@
 	// for the time since the last, in limitEvery, limitSpeaks times at most: one that sees few would learn
 	// too late. A lower limit serves fewer in time, not more too late.
 	limitStart, limitLeast               = 16.0, 9.0
-	sourceStart, sourceLeast, sourcePart = 16.0, 0.1, 0.5
+	sourceStart, sourceLeast, sourcePart = 16.0, 0.2, 0.5
 	limitShrink, limitRaise              = 0.9, 0.1
 	limitStep                            = 2.0
 	// usualLink: the limits above are in places of caches whose links hold so many transfers. Where those
@@ -382,8 +382,7 @@
 	t.limit, t.heard = max(t.limit, least), r.now
 }
 
-// passBy is for a location with no cache up: straight to the chain's parent, or to the origin. Past caches
-// that are only crowded it would bring the jam to the parents.
+// passBy is for a location with no cache up: past crowded ones it would bring the jam to the parents.
 func (r *Router) passBy(q *request) *target {
 	for _, c := range r.caches {
 		if c.State == Ready && !c.down {
@@ -508,7 +507,6 @@
 func (r *Router) answered(t *target) {
 	t.unanswered, t.lastAnswer = 0, r.now
 	t.failShare.learn(false, failGain)
-	t.lateShare.learn(false, failGain)
 }
 
 func (r *Router) markDown(t *target, why string) {
@@ -620,6 +618,7 @@
 	if filled && a.source != nil {
 		decided = a.source
 		if !a.late {
+			a.source.lateShare.learn(false, failGain)
 			r.adapt(r.link, false)
 		} else if o.Waited <= q.class.Target/2 {
 			decided = r.link
@@ -637,6 +636,7 @@
 	}
 	switch turned := o.Note == NoteSourceRefused || o.Note == NoteOriginFailed; {
 	case o.Result == OK:
+		a.to.lateShare.learn(a.late, failGain)
 		r.adapt(decided, a.late)
 	case turned && a.source != nil:
 		r.adapt(a.source, true) // whoever is full is over its limit, and so may the origin behind it be
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -524,6 +524,19 @@
 	t.Fatal("no fill went to parent 11")
 }
 
+// A parent that is asked only for what it holds says at once what it lacks. Taken for answers in time, such
+// looks cleared a jammed parent, and its time-outs were blamed on the idle origin behind it.
+func TestLooksInVainClearNoSource(t *testing.T) {
+	s := start(t, settings(), fleet())
+	s.r.origin.limit = 0.01
+	s.r.known[11].lateShare, s.r.known[12].lateShare = 0.5, 0.5
+	g := s.get(s.on(req("a", "o")))
+	s.on(Outcome{ID: "a", Cache: g.Cache, Result: Miss, Note: NoteSourceLacks})
+	if got := s.r.known[g.Source].lateShare; g.How&HeldOnly == 0 || got != 0.5 {
+		t.Errorf("after a look in vain at %d (how %b) its share of time-outs went from 0.5 to %v", g.Source, g.How, got)
+	}
+}
+
 // A fleet of routers whose parents are asked for more than the origin bears: each asks them for what they hold
 // alone once its own part of the origin is taken, whether it is one of three or of three hundred.
 func TestJammedOriginLeavesParentsTheirHits(t *testing.T) {
