Spread and bound the pauses before the notice board is asked again

Seen: the client dialled again 100 ms after each connection that ended, without chance and without end: eighty proxies whose board broke off asked it 800 times a second in step. At fault: Run() waited Redial whatever had happened before. Change: the pause doubles with each connection that told nothing, to 1.6 s on average, and is drawn from the proxy's seed over half to one and a half of that; a frame heard starts it anew.

--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -122,7 +122,7 @@
 			notice(n)
 		}
 		s.board = &board.Client{
-			Addr: conf.Board, Last: conf.Rev, Silence: boardSilence, Redial: boardRedial, Notice: notice,
+			Addr: conf.Board, Last: conf.Rev, Silence: boardSilence, Redial: boardRedial, Seed: conf.Seed, Notice: notice,
 			Heard: func() { s.roster.Tell(membership.Heard{Source: boardAt}) },
 		}
 	}
--- a/internal/source/board/board.go
+++ b/internal/source/board/board.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -201,7 +202,8 @@
 	Addr    string        // at the start; see Move
 	Last    uint64        // number of the last event known
 	Silence time.Duration // frames come every second: after so much silence the connection is broken
-	Redial  time.Duration // pause between connections
+	Redial  time.Duration // mean pause before the first new connection; see pause
+	Seed    uint64        // of the chance in pauses
 	Notice  func(Notice)
 	Heard   func() // a frame came that tells nothing new; may be nil
 
@@ -224,41 +226,55 @@
 
 // Run follows the board until ctx ends. Whatever breaks, it dials again with the last number it has.
 func (c *Client) Run(ctx context.Context) {
+	chance, tries := rand.New(rand.NewPCG(c.Seed, 0)), 0
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		at, leave := context.WithCancel(ctx)
 		addr := c.Addr
 		c.leave = leave
 		c.mu.Unlock()
-		c.follow(at, addr)
+		if tries++; c.follow(at, addr) {
+			tries = 0
+		}
 		select {
 		case <-at.Done(): // ended, or moved
-		case <-time.After(c.Redial):
+		case <-time.After(c.pause(tries, chance.Float64())):
 		}
 		leave()
 	}
 }
 
-func (c *Client) follow(ctx context.Context, addr string) {
+// mostDoubled bounds a pause at sixteen times Redial: news binds some seconds later, heard or not.
+const mostDoubled = 4
+
+// pause doubles with each connection in a row that told nothing, and is spread by chance, from 0 to 1, over half to one
+// and a half of that. Guards against a fleet that asks a board which broke off again and again, all in step.
+func (c *Client) pause(tries int, chance float64) time.Duration {
+	return time.Duration(float64(c.Redial<<min(tries, mostDoubled)) * (0.5 + chance))
+}
+
+// follow reads one connection to its end, and tells whether a frame came over it.
+func (c *Client) follow(ctx context.Context, addr string) (heard bool) {
 	d := net.Dialer{Timeout: c.Silence}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return
+		return false
 	}
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	var last [8]byte
 	binary.BigEndian.PutUint64(last[:], c.Last)
 	if _, err := nc.Write(last[:]); err != nil {
-		return
+		return false
 	}
 	for {
 		// Guards against a board that was cut off: its connection stays open and says nothing.
 		_ = nc.SetReadDeadline(time.Now().Add(c.Silence))
 		n, kind, err := readFrame(nc)
 		if err != nil {
-			return
+			return heard
 		}
+		heard = true
 		if kind == kindNothing && c.Heard != nil {
 			c.Heard()
 		}
--- a/internal/source/board/board_test.go
+++ b/internal/source/board/board_test.go
@@ -55,6 +55,16 @@
 	require.Empty(t, got)
 }
 
+// A fleet whose board broke off dialled again every 100 ms, all in the same moment.
+func TestPausesAreSpreadAndBounded(t *testing.T) {
+	c := Client{Redial: 100 * time.Millisecond}
+	for tries, mean := range []time.Duration{100, 200, 400, 800, 1600, 1600, 1600} {
+		mean *= time.Millisecond
+		require.Equal(t, mean/2, c.pause(tries, 0))
+		require.Equal(t, mean*5/4, c.pause(tries, 0.75))
+	}
+}
+
 func TestKnown(t *testing.T) {
 	names := Names{Zones: []string{"east"}, Kinds: []string{"std"}}
 	notices, last, err := Known([]byte(`{"rev":2,"notices":[{"rev":1,"pool":{"reset":false,"instances":[
