--- a/internal/store/cluster.go
+++ b/internal/store/cluster.go
@@ -1,7 +1,7 @@
 package store
 
 import (
-	"errors"
+	"cmp"
 	"fmt"
 	"strconv"
 	"time"
@@ -67,7 +67,7 @@
 	}
 	if !s.Leader() {
 		addr, _ := s.raft.LeaderWithID()
-		return reply{Err: "not the leader", Leader: string(addr)}
+		return reply{Err: notLeader, Leader: string(addr)}
 	}
 	var err error
 	switch q.Call {
@@ -147,28 +147,33 @@
 	return fmt.Errorf("no member %q", name)
 }
 
-// Ask has a member of the cluster do something, following it to the leader where that is needed. It needs a certificate
-// of the cluster, and no store.
+// Ask has a member of the cluster do something, following it to the leader where that is needed. While leadership moves,
+// a member knows of no leader or of one that has just stopped leading: what it refuses for that has not run, and is
+// asked again until wait is over. It needs a certificate of the cluster, and no store.
 func Ask(id *Identity, addr, call, name, at string, wait time.Duration) (Status, error) {
 	w := &wire{id: id, dial: Options{}.dialer()}
-	for range 3 {
+	for end := time.Now().Add(wait); ; time.Sleep(askAgain) {
 		r, _, err := w.call(addr, request{Call: call, Name: name, Addr: at}, wait)
 		switch {
 		case err != nil:
 			return Status{}, fmt.Errorf("store: member at %s: %w", addr, err)
-		case r.Err != "" && r.Leader != "":
-			addr = r.Leader
-			continue
+		case r.Err == notLeader && time.Now().Before(end):
+			addr = cmp.Or(r.Leader, addr)
 		case r.Err != "":
 			return Status{}, fmt.Errorf("store: member at %s says: %s", addr, r.Err)
 		case r.Status != nil:
 			return *r.Status, nil
+		default:
+			return Status{}, nil
 		}
-		return Status{}, nil
 	}
-	return Status{}, errors.New("store: no leader to be found")
 }
 
+const (
+	notLeader = "not the leader" // the answer of a member that does not lead, the call not run
+	askAgain  = 20 * time.Millisecond
+)
+
 // The calls that Ask makes.
 const (
 	AskStatus   = callStatus
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -305,7 +305,15 @@
 		return next != ""
 	}, "another leads")
 	spendNew(t, c.members[next])
+
+	// One that knows of no leader refused what it was asked at once, though it had not run: it is asked again.
+	id, err := LoadIdentity(c.keys, lead)
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { _, err := Ask(id, c.addrs[lead], AskRemove, "nobody", "", 20*time.Second); done <- err }()
+	time.Sleep(5 * askAgain)
 	c.isolate(lead, false)
+	require.NoError(t, <-done)
 	spendNew(t, c.members[lead])
 }
 
