Wait at a follower for what its state holds, not for what raft handed to it

Seen: TestLinearizable said "Illegal" once in 16 runs under load. catchUp (store/store.go) waited for raft's AppliedIndex, which raft documents as handed to the state machine, taken in or not; a read right after it could miss an acknowledged change.

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -119,7 +119,8 @@
 	Lists   map[string]List    `cbor:"6,keyasint"`
 	Drains  map[string]float64 `cbor:"7,keyasint"` // by server's name: since when
 	Purges  map[string]Purge   `cbor:"8,keyasint"`
-	Done    []done             `cbor:"9,keyasint"` // oldest first
+	Done    []done             `cbor:"9,keyasint"`  // oldest first
+	Applied uint64             `cbor:"10,keyasint"` // index in the log of the last change taken in
 	index   map[string]Result
 }
 
--- a/internal/store/cluster.go
+++ b/internal/store/cluster.go
@@ -83,7 +83,7 @@
 		return reply{Result: raw[1:]}
 	case callIndex:
 		if err = s.raft.Barrier(s.opt.Timeout).Error(); err == nil {
-			return reply{Index: s.raft.AppliedIndex()}
+			return reply{Index: s.applied()} // a barrier returns once all before it is taken in
 		}
 	case callJoin:
 		if peer != q.Name {
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -13,7 +13,6 @@
 type fsm struct {
 	mu       sync.RWMutex
 	state    *replica.State
-	applied  uint64
 	watchers []chan replica.Revision
 	facts    func(replica.Change) // told of lists, drains and purges as they are applied; nil: nobody asks
 }
@@ -23,7 +22,7 @@
 	c, err := replica.DecodeChange(l.Data)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.applied = l.Index
+	f.state.Applied = l.Index
 	if err != nil {
 		// Of a later version: all members of this one pass it over alike.
 		return replica.Result{Verdict: replica.Invalid}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -433,7 +433,7 @@
 		return ErrUnavailable
 	}
 	index = r.Index
-	for end := s.opt.Clock.Now() + clock.Ms(s.opt.Timeout); s.raft.AppliedIndex() < index; {
+	for end := s.opt.Clock.Now() + clock.Ms(s.opt.Timeout); s.applied() < index; {
 		if s.opt.Clock.Now() >= end {
 			return ErrUnavailable
 		}
@@ -442,6 +442,13 @@
 	return nil
 }
 
+// applied is the last entry that the state holds. Raft's AppliedIndex is no guide: it counts what was handed to the
+// state machine and may not have been taken in yet, and a linearizable read that trusted it was stale.
+func (s *Store) applied() (index uint64) {
+	_ = s.Read(false, func(st *replica.State) { index = st.Applied })
+	return index
+}
+
 // Key returns a signing key as this member knows it.
 func (s *Store) Key(kid string) (k Key, ok bool) {
 	_ = s.Read(false, func(st *replica.State) { k, ok = st.Keys[kid] })
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -317,6 +317,24 @@
 	spendNew(t, c.members[lead])
 }
 
+// A follower has been handed two changes that were acknowledged, and has not taken them in yet. A linearizable read
+// there waits for both.
+func TestReadWaitsForTheState(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	lead := c.leader()
+	late := c.members[c.other(lead)]
+	late.fsm.mu.Lock()
+	require.NoError(t, c.members[lead].PutKey("one", Key{Alg: "HS256"}))
+	require.NoError(t, c.members[lead].PutKey("two", Key{Alg: "HS256"}))
+	eventually(t, func() bool { return late.raft.AppliedIndex() >= c.members[lead].raft.AppliedIndex() }, "it was handed both")
+	done, seen := make(chan error, 1), false
+	go func() { done <- late.Read(true, func(s *replica.State) { _, seen = s.Keys["two"] }) }()
+	time.Sleep(50 * time.Millisecond)
+	late.fsm.mu.Unlock()
+	require.NoError(t, <-done)
+	require.True(t, seen)
+}
+
 // Members come, are replaced and go in service, and leadership moves where it is asked to.
 func TestMembership(t *testing.T) {
 	c := newCluster(t, "a", "b", "c")
