Blame a late fill whose first byte came soon on the link that is late

So the parent's link was jammed, yet learn (policy.go) lowered the location's link for its own fills and the origin for those that came by way of it, and the idle origin was found late. Change: both links learn which of their fills were late after an early first byte, and the worse one is lowered; the origin is judged by its first byte.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -475,12 +475,10 @@
 	r.adapt(worst, true)
 	if a.to.lastAnswer < a.sent {
 		r.unanswered(a.to)
-	} else if a.source != nil && a.source != a.to {
-		if a.source.lastAnswer < a.sent {
-			// It waits for its source, not for the cache: counted there, waits would shut out the hits.
-			r.through(a, true)
-			r.unanswered(a.source)
-		}
+	} else if a.source != nil && a.source != a.to && a.source.lastAnswer < a.sent {
+		// It waits for its source, not for the cache: counted there, waits would shut out the hits.
+		r.through(a, true)
+		r.unanswered(a.source)
 	}
 }
 
@@ -612,29 +610,29 @@
 	if a.fill > 0 && (o.Result == OK && !filled || o.Result == ConnectFailed || o.Note == NoteNoPlace) {
 		a.source.credit += a.fill
 	}
-	// A late fill is its source's doing where the first byte was what took long, else that of the location's
-	// link. One jam there feeds itself: fills run on without a client, and are asked for again.
-	decided := a.to
+	// A late fill is its source's doing where the first byte was what took long, else that of a link: its
+	// source's, where fills from others come in time, or the location's. One jam there feeds itself: fills run
+	// on without a client, and are asked for again.
+	decided, soon := a.to, o.Waited <= q.class.Target/2
 	if filled && a.source != nil {
 		decided = a.source
-		if !a.late {
+		if r.link.lateShare.learn(a.late && soon, failGain); !a.late {
 			a.source.lateShare.learn(false, failGain)
 			r.adapt(r.link, false)
-		} else if o.Waited <= q.class.Target/2 {
+		} else if soon && r.link.lateShare >= a.source.lateShare {
 			decided = r.link
 		}
 	}
-	if o.Note == NoteNoPlace {
-		r.adapt(r.link, true)
-	}
 	if o.Note == NoteFilledOrigin && a.deep != nil {
-		decided = a.deep
-		decided.lateShare.learn(a.late, failGain)
-		if !a.late {
-			r.adapt(a.source, false)
+		if a.deep.lateShare.learn(a.late && !soon, failGain); a.late && !soon {
+			decided = a.deep
+		} else {
+			r.adapt(a.deep, false)
 		}
 	}
 	switch turned := o.Note == NoteSourceRefused || o.Note == NoteOriginFailed; {
+	case o.Note == NoteNoPlace:
+		r.adapt(r.link, true)
 	case o.Result == OK:
 		a.to.lateShare.learn(a.late, failGain)
 		r.adapt(decided, a.late)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -524,6 +524,25 @@
 	t.Fatal("no fill went to parent 11")
 }
 
+// A fill whose first byte came soon was late: its parent's link, or the location's where all fills are late. What the
+// origin gave in time behind that parent does not lower the origin's limit.
+func TestLateBytesBlameTheLinkOfOne(t *testing.T) {
+	for _, late := range []share{0, 1} { // of fills over the location's link so far
+		s := start(t, settings(), fleet())
+		g := s.get(s.on(req("a", "o")))
+		link, source, deep := s.r.link, s.r.known[g.Source], s.r.origin
+		for _, x := range []*target{link, source, deep} {
+			x.limit, x.heard = 1, s.now
+		}
+		link.lateShare, source.lateShare = late, 0.5
+		s.r.reqs["a"].attempts[0].late = true
+		s.on(Outcome{ID: "a", Cache: g.Cache, Result: OK, Note: NoteFilledOrigin, Latency: time.Second, Waited: 20 * ms})
+		if (link.limit != 1) != (late == 1) || (source.limit < 1) != (late == 0) || deep.limit <= 1 {
+			t.Errorf("link late %v: limits of link, parent, origin %v, %v, %v", late, link.limit, source.limit, deep.limit)
+		}
+	}
+}
+
 // A parent that is asked only for what it holds says at once what it lacks. Taken for answers in time, such
 // looks cleared a jammed parent, and its time-outs were blamed on the idle origin behind it.
 func TestLooksInVainClearNoSource(t *testing.T) {
