Let a source's limit rise only where it is used, and start it at a quarter of the links

Cause: adapt (policy.go) raised a limit with any answer in time unless more than one fill beyond what was out was free, so each proxy had two or three places at the origin, 160 to 240 in all, where 6 to 10 were in use. Change: a source's limit rises only where its use comes near it, and starts at a quarter of the router's part. Test with 1, 80 and 800 routers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,14 +44,15 @@
 	// limitStart, limitLeast: attempts that all routers of the location let themselves have out at a cache,
 	// or fills on its link, at first and at least; each has its part. sourceStart, sourceLeast: fills of one
 	// router at a parent or the origin; it starts with sourcePart of its part of its caches' links, or eighty
-	// routers would have room for a jam before one of them meets its limit. limitShrink is what a late answer
-	// leaves of a limit; one in time adds limitRaise of it, or limitStep for all its places. An answer speaks
-	// for the time since the last, in limitEvery, limitSpeaks times at most: one that sees few would learn
-	// too late. A lower limit serves fewer in time, not more too late.
-	limitStart, limitLeast               = 16.0, 9.0
-	sourceStart, sourceLeast, sourcePart = 16.0, 0.2, 0.5
-	limitShrink, limitRaise              = 0.9, 0.1
-	limitStep                            = 2.0
+	// routers would have room for a jam before one meets its limit, and rises while less than spareSource is
+	// free beyond twice what is out. limitShrink is what a late answer leaves of a limit; one in time adds
+	// limitRaise of it, or limitStep for all its places. An answer speaks for the time since the last, in
+	// limitEvery, limitSpeaks times at most: one that sees few would learn too late. A lower limit serves
+	// fewer in time, not more too late.
+	limitStart, limitLeast                            = 16.0, 9.0
+	sourceStart, sourceLeast, sourcePart, spareSource = 16.0, 0.2, 0.25, 0.5
+	limitShrink, limitRaise                           = 0.9, 0.1
+	limitStep                                         = 2.0
 	// usualLink: the limits above are in places of caches whose links hold so many transfers. Where those
 	// told hold more, a place stands for as many more, and one answer speaks for that much less of a limit:
 	// a few late ones a second would else keep the limits of a large fleet at those of a small one.
@@ -363,8 +364,9 @@
 }
 
 // adapt moves the limit of the one that decided how long an answer took: up if it was in time, down if
-// late. Where less than half of the places are taken the limit is not what decides, and stays: large
-// objects are late now and then, and would shut an idle cache.
+// late. Where less than half of the places are taken the limit is not what decides, and stays: large objects
+// are late now and then, and would shut an idle cache. A source's rises only where more are out: eighty
+// routers that had one fill out now and then gave themselves two each, a jam for the origin.
 func (r *Router) adapt(t *target, late bool) {
 	least, sharers := sourceLeast, 1.0
 	if t.role == edge { // its neighbours raise theirs: all together it grows as one router's would
@@ -373,6 +375,7 @@
 	}
 	speaks := min(limitSpeaks, max(1, float64(r.now-t.heard)/float64(limitEvery)))
 	switch {
+	case t.role != edge && !late && 2*r.places(t)+spareSource < t.limit*r.scale:
 	case 2*(r.places(t)+1) < t.limit*r.scale:
 	case late:
 		t.limit *= math.Pow(limitShrink, speaks/r.scale)
@@ -542,8 +545,7 @@
 	if s == t {
 		s = nil
 	}
-	beyond := o.Note == NoteSourceRefused || o.Note == NoteSourceLost || o.Note == NoteOriginFailed
-	sourceFault := s != nil && beyond
+	sourceFault := s != nil && has([]Note{NoteSourceRefused, NoteSourceLost, NoteOriginFailed}, o.Note)
 	alive := o.Result == OK || o.Result == Miss || o.Result == Full || sourceFault
 	switch {
 	case alive:
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -532,12 +532,12 @@
 		g := s.get(s.on(req("a", "o")))
 		link, source, deep := s.r.link, s.r.known[g.Source], s.r.origin
 		for _, x := range []*target{link, source, deep} {
-			x.limit, x.heard = 1, s.now
+			x.limit, x.heard = 0.4, s.now
 		}
 		link.lateShare, source.lateShare = late, 0.5
 		s.r.reqs["a"].attempts[0].late = true
 		s.on(Outcome{ID: "a", Cache: g.Cache, Result: OK, Note: NoteFilledOrigin, Latency: time.Second, Waited: 20 * ms})
-		if (link.limit != 1) != (late == 1) || (source.limit < 1) != (late == 0) || deep.limit <= 1 {
+		if (link.limit != 0.4) != (late == 1) || (source.limit < 0.4) != (late == 0) || deep.limit <= 0.4 {
 			t.Errorf("link late %v: limits of link, parent, origin %v, %v, %v", late, link.limit, source.limit, deep.limit)
 		}
 	}
@@ -693,6 +693,23 @@
 	}
 }
 
+// Routers that each have one fill out now and then leave the origin's limit at their part of the links: with room for
+// two each, a fleet of them had ten times what the origin serves in time out at once when all copies went void.
+func TestSeldomMetSourceKeepsItsPart(t *testing.T) {
+	for _, routers := range []int{1, 80, 800} {
+		set := settings()
+		set.Routers, set.ZoneRouters = routers, []int{0, 0, min(7, routers)}
+		s := start(t, set, fleet())
+		for i := range 50 {
+			s.now += time.Second
+			s.answer(fmt.Sprint(i), s.get(s.on(req(fmt.Sprint(i), fmt.Sprint(i)))), NoteFilledOrigin, 50*ms)
+		}
+		if all := float64(routers) * s.r.origin.limit; all > 1.1*max(16, float64(routers)) {
+			t.Errorf("%d routers let themselves have %v fills out at the origin", routers, all)
+		}
+	}
+}
+
 // Fills late after a quick first byte lower the limit of the location's link, not the source's; while it is
 // reached caches are asked for what they hold, so that fills without a client do not keep the link full.
 func TestFullLinkStopsFills(t *testing.T) {
