Take a cache that resets new connections beside standing ones for full, not for gone

Read in the code (upstream/conn.go, run): a new connection reset three times ended its calls as a failed connection also with others to the same cache up, so that the module took it out and back in as cold.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -10,6 +12,7 @@
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/invariant"
+	"ravenwheel/internal/resp"
 	"ravenwheel/internal/scenario"
 )
 
@@ -110,3 +113,33 @@
 	require.Equal(t, core.Answer{Verdict: core.Refused, Backoff: clock.Ms(scenario.Settings().MaxRetryAfter)}, a)
 	require.EqualValues(t, 1, small.Counters.Open.Load())
 }
+
+// A cache that closes each connection right behind its answer, so that the next request goes out on one that is just
+// ending: reads are served all the same, over the next connection.
+func TestPeerClosesAsRequestsGoOut(t *testing.T) {
+	p := scenario.NewProxy(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			buf := resp.Buffer{Most: resp.MostAnswered}
+			if parts, _, err := buf.Next(nc); err == nil {
+				_, _ = nc.Write(resp.Append(nil, string(parts[1]), "served", "", "BYTES"))
+			}
+			nc.Close()
+		}
+	}()
+	m := core.Member{Addr: ln.Addr().String()}
+	m.ID, m.Weight = scenario.CacheID, 10
+	p.Core.Members(membership.Publish{Version: 2, Members: []core.Member{m}})
+	for i := range 300 {
+		q := core.Request{ID: fmt.Sprint(i), Class: 1, Object: "o", Deadline: p.Clock.Now() + 900}
+		require.Equal(t, core.Served, p.Core.Do(context.Background(), q).Verdict, i)
+	}
+	require.Zero(t, invariant.Broken())
+}
--- a/internal/source/board/board.go
+++ b/internal/source/board/board.go
@@ -226,19 +226,17 @@
 
 // Run follows the board until ctx ends. Whatever breaks, it dials again with the last number it has.
 func (c *Client) Run(ctx context.Context) {
-	chance, tries := rand.New(rand.NewPCG(c.Seed, 0)), 0
+	again := c.redials()
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		at, leave := context.WithCancel(ctx)
 		addr := c.Addr
 		c.leave = leave
 		c.mu.Unlock()
-		if tries++; c.follow(at, addr) {
-			tries = 0
-		}
+		pause := again(c.follow(at, addr))
 		select {
 		case <-at.Done(): // ended, or moved
-		case <-time.After(c.pause(tries, chance.Float64())):
+		case <-time.After(pause):
 		}
 		leave()
 	}
@@ -247,10 +245,17 @@
 // mostDoubled bounds a pause at sixteen times Redial: news binds some seconds later, heard or not.
 const mostDoubled = 4
 
-// pause doubles with each connection in a row that told nothing, and is spread by chance, from 0 to 1, over half to one
-// and a half of that. Guards against a fleet that asks a board which broke off again and again, all in step.
-func (c *Client) pause(tries int, chance float64) time.Duration {
-	return time.Duration(float64(c.Redial<<min(tries, mostDoubled)) * (0.5 + chance))
+// redials returns what tells the pause after each connection, by whether a frame came over it. It doubles with each in a
+// row that told nothing, and is spread by chance over half to one and a half of that. Guards against a fleet that asks a
+// board which broke off again and again, all in step.
+func (c *Client) redials() func(heard bool) time.Duration {
+	chance, tries := rand.New(rand.NewPCG(c.Seed, 0)), 0
+	return func(heard bool) time.Duration {
+		if tries++; heard {
+			tries = 0
+		}
+		return time.Duration(float64(c.Redial<<min(tries, mostDoubled)) * (0.5 + chance.Float64()))
+	}
 }
 
 // follow reads one connection to its end, and tells whether a frame came over it.
--- a/internal/source/board/board_test.go
+++ b/internal/source/board/board_test.go
@@ -51,17 +51,38 @@
 	nc = accept(5) // silence ended the first connection
 	_, err = nc.Write(frame(6, kindObject, 1, 2, 3))
 	require.NoError(t, err)
-	accept(5) // what can't be read ended the second
+	nc = accept(5) // what can't be read ended the second
+	_, err = nc.Write(frame(6, kindGroup, group(18, 1000)...)[:9])
+	require.NoError(t, err)
+	require.NoError(t, nc.Close())
+	nc = accept(5) // it broke off within an event, which counts only whole
 	require.Empty(t, got)
+	_, err = nc.Write(frame(6, kindGroup, group(18, 1000)...))
+	require.NoError(t, err)
+	require.Equal(t, 18, (<-got).Purge.Group)
 }
 
-// A fleet whose board broke off dialled again every 100 ms, all in the same moment.
-func TestPausesAreSpreadAndBounded(t *testing.T) {
-	c := Client{Redial: 100 * time.Millisecond}
-	for tries, mean := range []time.Duration{100, 200, 400, 800, 1600, 1600, 1600} {
-		mean *= time.Millisecond
-		require.Equal(t, mean/2, c.pause(tries, 0))
-		require.Equal(t, mean*5/4, c.pause(tries, 0.75))
+// A fleet whose board broke off dialled again every 100 ms, all in the same moment. Now the calls thin out and spread,
+// from one proxy to hundreds, and one that hears again starts from the short pause.
+func TestManyAskAgain(t *testing.T) {
+	const redial, from, to = 100 * time.Millisecond, 10 * time.Second, 40 * time.Second
+	for _, proxies := range []int{1, 80, 400} {
+		calls := map[time.Duration]int{} // by 50 ms
+		for seed := range proxies {
+			again := (&Client{Redial: redial, Seed: uint64(seed)}).redials()
+			for at := again(false); at < to; at += again(false) {
+				if at >= from {
+					calls[at/(50*time.Millisecond)]++
+				}
+			}
+			require.LessOrEqual(t, again(true), redial*3/2)
+		}
+		all, most := 0, 0
+		for _, n := range calls {
+			all, most = all+n, max(most, n)
+		}
+		require.InDelta(t, 30/1.6*float64(proxies), all, 5*float64(proxies)) // one in 1.6 s each
+		require.LessOrEqual(t, most, 3+proxies/8, "of %d proxies in 50 ms", proxies)
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -170,7 +170,13 @@
 func (k *conn) run() {
 	nc, err := k.dial()
 	if err != nil {
-		k.end(policy.ConnectFailed, policy.ConnectFailed)
+		result := policy.ConnectFailed
+		// Guards against a cache server that holds few connections: with others of ours up, it is full of them, not
+		// gone. Taken as one that could not be reached, it was passed over for seconds and came back as cold.
+		if errors.Is(err, syscall.ECONNRESET) && k.pool.up() {
+			result = policy.Moot
+		}
+		k.end(result, result)
 		return
 	}
 	k.mu.Lock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -216,6 +216,17 @@
 	}
 }
 
+// up tells whether a connection stands.
+func (pl *pool) up() bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return slices.ContainsFunc(pl.conns, func(k *conn) bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.nc != nil && !k.closed
+	})
+}
+
 func (pl *pool) closeIdle() {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -188,3 +189,29 @@
 		s send r1 served -
 		up expect r1 ok`)
 }
+
+// A cache that holds one connection of ours and resets the rest: what finds no place is told so and blames nobody, the
+// one connection serves on, and each attempt costs three dials at most.
+func TestFewConnections(t *testing.T) {
+	var dials atomic.Int32
+	dial := func(network, addr string, wait time.Duration) (net.Conn, error) {
+		if dials.Add(1) > 1 {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNRESET)}
+		}
+		return net.DialTimeout(network, addr, wait)
+	}
+	clk, cache := clock.Manual(0), scenario.Listen(t)
+	actors := map[string]scenario.Actor{"up": scenario.Attempt(newPools(clk, cache, dial)), "s": cache}
+	scenario.Run(t, clk, actors, `
+		up send r1
+		s expect fetch r1 * -`)
+	for range 20 {
+		scenario.Run(t, clk, actors, `
+			up send w1 once
+			up expect w1 moot`)
+	}
+	scenario.Run(t, clk, actors, `
+		s send r1 served -
+		up expect r1 ok`)
+	require.LessOrEqual(t, dials.Load(), int32(1+20*3))
+}
