Mark one that is met seldom down after three unanswered in five silent seconds

Counted in a test: a cache that hangs, met every twenty seconds, took twenty late requests of each proxy before it was passed over (unansweredCount, policy.go), 1,600 over 80 proxies; now three.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,9 +23,10 @@
 	memoryAge = 10 * time.Second
 	// memorySize bounds the memory of hit holders, in objects (or parts).
 	memorySize = 1 << 14
-	// unansweredCount: this many attempts in a row past their aim mark the one who owes the answer down.
-	// Fewer notices silence sooner, and mistakes a jam for it more often.
-	unansweredCount = 20
+	// unansweredCount: this many attempts in a row past their aim mark the one who owes the answer down; one
+	// met seldom goes at unansweredLeast, if it answered nothing for silentFor: each of a large fleet would
+	// else lose the count to it. Fewer notices silence sooner, and mistakes a jam for it more often.
+	unansweredCount, unansweredLeast, silentFor = 20, 3, 5 * time.Second
 	// failShareDown: share of late attempts that failed at which a cache or parent counts as down, with
 	// failGain the weight of the newest one.
 	failShareDown, failGain = 0.5, 1.0 / 8
@@ -363,10 +364,9 @@
 	return float64(len(t.out)-t.through) + float64(r.fillShare)*float64(t.fills)
 }
 
-// adapt moves the limit of the one that decided how long an answer took: up if it was in time, down if
-// late. Where less than half of the places are taken the limit is not what decides, and stays: large objects
-// are late now and then, and would shut an idle cache. A source's rises only where more are out: eighty
-// routers that had one fill out now and then gave themselves two each, a jam for the origin.
+// adapt moves the limit of the one that decided how long an answer took: up if in time, down if late. With
+// less than half its places taken it stays: large objects are late now and then, and would shut an idle one.
+// A source's rises only where more are out: eighty with room for two fills each are a jam for the origin.
 func (r *Router) adapt(t *target, late bool) {
 	least, sharers := sourceLeast, 1.0
 	if t.role == edge { // its neighbours raise theirs: all together it grows as one router's would
@@ -487,7 +487,7 @@
 
 func (r *Router) unanswered(t *target) {
 	t.unanswered++
-	if t.unanswered >= unansweredCount {
+	if t.unanswered >= unansweredCount || t.unanswered >= unansweredLeast && r.now-t.lastAnswer >= silentFor {
 		r.markDown(t, "silent")
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -397,6 +397,25 @@
 	}
 }
 
+// A cache that hangs and that each of many routers meets every twenty seconds: three requests are late, not twenty.
+func TestSilenceOfOneMetSeldom(t *testing.T) {
+	s := start(t, settings(), fleet())
+	g := s.get(s.on(req("first", "o")))
+	s.answer("first", g, NoteHit, 10*ms)
+	c, lost := s.r.known[g.Cache], 0
+	for ; !c.down && lost < unansweredCount; lost++ {
+		s.now += 20 * time.Second
+		id := fmt.Sprint(lost)
+		s.on(req(id, "o"))
+		a := s.r.reqs[id].attempts[0]
+		s.r.overdue(a)
+		s.on(Outcome{ID: id, Cache: g.Cache, Result: TimedOut, Closed: true})
+	}
+	if lost != unansweredLeast {
+		t.Errorf("down after %d", lost)
+	}
+}
+
 // One that breaks off again and again, or fails what others serve, is down, whatever it connects.
 func TestFailingShare(t *testing.T) {
 	for _, result := range []Result{Reset, Failed} {
