Run the program's own test also with the calls refused that the larger fleet refuses

TestProgram now plays its whole course (serve, reload, board moved, stop) a second time under a system-call filter of its own that kills the process at any of these and answers clone3 with ENOSYS. Skipped where a kernel has no such filters.

--- a/cmd/ravenwheel/serve_test.go
+++ b/cmd/ravenwheel/serve_test.go
@@ -59,13 +59,19 @@
 	return path
 }
 
-// TestProgram starts the program, speaks to it, moves its notice board and ends it.
+// TestProgram starts the program, speaks to it, moves its notice board and ends it; also with the calls refused that the
+// larger fleet's platform refuses.
 func TestProgram(t *testing.T) {
-	bin, listen, cache := build(t), freeAddr(t), scenario.Listen(t)
+	bin := build(t)
+	t.Run("free", func(t *testing.T) { program(t, exec.Command(bin)) })
+	t.Run("confined", func(t *testing.T) { program(t, confined(t, bin)) })
+}
+
+func program(t *testing.T, cmd *exec.Cmd) {
+	listen, cache := freeAddr(t), scenario.Listen(t)
 	board := listenBoard(t)
 	path := configFile(t, listen, board.Addr().String(), cache.Addr())
-	cmd := exec.Command(bin)
-	cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+	cmd.Env = append(cmd.Environ(), "LB_CONFIG="+path)
 	logs, err := cmd.StderrPipe()
 	require.NoError(t, err)
 	require.NoError(t, cmd.Start())
