--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -38,6 +38,68 @@
 	}
 }
 
+// Six caches in ten are replaced in one change, by routers that have just started too: nothing more is sent to those that
+// are gone, what is open there ends, and the new ones, all cold, get no more than their budget from one router or seven.
+func TestMostReplacedAtOnce(t *testing.T) {
+	const took, step = 300 * ms, 100 * ms
+	for _, routers := range []int{1, 7} {
+		set := settings()
+		set.Routers, set.ZoneRouters = routers, []int{0, 0, routers}
+		m, news := fleet(), Members{Kind: ListChanges}
+		m.Entries = m.Entries[3:]
+		for id := CacheID(1); id <= 10; id++ {
+			m.Entries = append(m.Entries, Member{ID: id, Zone: 2, Weight: 10})
+			if id <= 6 {
+				news.Entries = append(news.Entries, Member{ID: id, Zone: 2, State: Gone},
+					Member{ID: id + 30, Zone: 2, Weight: 10, Started: time.Minute})
+			}
+		}
+		var all []*script
+		for i := range routers {
+			s := start(t, set, m)
+			s.r.rng = mix(uint64(i))
+			open := s.get(s.on(req("open", "o")))
+			s.on(news)
+			if s.answer("open", open, NoteHit, took); len(s.r.reqs) > 0 {
+				t.Fatal("what was open when the list came has not ended")
+			}
+			all = append(all, s)
+		}
+		sent := map[CacheID][]float64{} // by step
+		for n := range 80 {
+			for i, s := range all {
+				s.now = time.Minute + time.Duration(n)*step
+				for k := range 60 / routers {
+					id := fmt.Sprint(n, i, k)
+					g, ok := find[Get](s.on(req(id, id)))
+					if !ok {
+						continue
+					} else if g.Cache <= 6 {
+						t.Fatalf("sent to %d, which is gone", g.Cache)
+					}
+					s.answer(id, g, NoteHit, took)
+					if len(sent[g.Cache]) == 0 {
+						sent[g.Cache] = make([]float64, 80)
+					}
+					sent[g.Cache][n] += took.Seconds()
+				}
+			}
+			for id, by := range sent {
+				asked := 0.0
+				for _, s := range by[max(0, n-19) : n+1] {
+					asked += s
+				}
+				if budget := 3 * 10 * (0.2 + 0.8*float64(n)*step.Seconds()/16) * 2; id > 30 && asked > budget {
+					t.Fatalf("%d routers: %d was asked for %.1f s in 2 s, budget %.1f", routers, id, asked, budget)
+				}
+			}
+		}
+		if len(sent) != 10 {
+			t.Errorf("%d of 10 caches were used", len(sent))
+		}
+	}
+}
+
 // BenchmarkOneOfTenThousand is a change of one member of a large fleet: it holds up every request meanwhile.
 func BenchmarkOneOfTenThousand(b *testing.B) {
 	r, err := New(Settings{Routers: 1, ParentKind: 1, OriginKind: 2, Classes: []Class{{Deadline: time.Second}}}, 7)
