Count a fill straight from the origin as a fill there, not as one that may reach it

Found by a test of no parent up: 80 routers asked for twenty objects each had 480 fills out at the origin, one router twenty. places (policy.go) took each for originShare, the part of answers that the origin gives by way of a parent, 0.1 at first.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -257,7 +257,7 @@
 		r.link.fills++
 		if source.role == parent && how&HeldOnly == 0 && r.origin != nil {
 			a.deep = r.origin
-			a.deep.fills++
+			a.deep.deep++
 		}
 	}
 	own := typicalSize * r.sendingTime(q)
@@ -359,7 +359,7 @@
 // source the share that will need it. Counting them all would shut a parent for hits it never sees.
 func (r *Router) places(t *target) float64 {
 	if t.role == origin {
-		return float64(len(t.out)) + float64(r.originShare)*float64(t.fills)
+		return float64(len(t.out)) + float64(r.originShare)*float64(t.deep) + float64(r.fillShare)*float64(t.fills)
 	}
 	return float64(len(t.out)-t.through) + float64(r.fillShare)*float64(t.fills)
 }
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -100,6 +100,32 @@
 	}
 }
 
+// No parent is up, and all routers are asked for twenty objects at once: what they send to the origin keeps to their
+// limits, from one router to eighty, and others are still looked for in the cache.
+func TestNoParentUp(t *testing.T) {
+	for _, routers := range []int{1, 80} {
+		set := settings()
+		set.Routers, set.ZoneRouters = routers, []int{0, 0, min(7, routers)}
+		m := fleet()
+		m.Entries = append(m.Entries[:3], m.Entries[5])
+		out, held := 0, 0
+		for range routers {
+			s := start(t, set, m)
+			for i := range 20 {
+				id := fmt.Sprint(i)
+				if g, ok := find[Get](s.on(req(id, id))); ok && g.Source == 20 {
+					out++
+				} else if ok && g.Source == g.Cache {
+					held++
+				}
+			}
+		}
+		if out < routers || float64(out) > max(sourceStart, 3*float64(routers)) || held == 0 {
+			t.Errorf("%d routers: %d out at the origin, %d held", routers, out, held)
+		}
+	}
+}
+
 // BenchmarkOneOfTenThousand is a change of one member of a large fleet: it holds up every request meanwhile.
 func BenchmarkOneOfTenThousand(b *testing.B) {
 	r, err := New(Settings{Routers: 1, ParentKind: 1, OriginKind: 2, Classes: []Class{{Deadline: time.Second}}}, 7)
--- a/policy/state.go
+++ b/policy/state.go
@@ -39,6 +39,7 @@
 	limit                float64 // attempts (of a source: fills) this router lets itself have out
 	heard                Time    // when an answer last spoke for the limit
 	fills                int     // open attempts that name it as their source
+	deep                 int     // open fills at parents that may ask it, the origin
 	through              int     // open attempts that only pass through it
 
 	ramped   Time // start of the rising share
@@ -191,7 +192,7 @@
 		a.source.fills--
 		r.link.fills--
 		if a.deep != nil {
-			a.deep.fills--
+			a.deep.deep--
 		}
 	}
 	a.to.out = without(a.to.out, a)
@@ -204,7 +205,7 @@
 	r.caches, r.parents, r.origin = make([]*target, 0, len(r.caches)+1), nil, nil
 	r.order = slices.DeleteFunc(r.order, func(t *target) bool {
 		switch {
-		case !t.listed && len(t.out) == 0 && t.fills == 0:
+		case !t.listed && len(t.out) == 0 && t.fills+t.deep == 0:
 			delete(r.known, t.ID) // or a fleet that replaces its machines would fill the memory
 			return true
 		case !t.listed:
@@ -257,11 +258,7 @@
 	for _, t := range out {
 		// Without weights the hash itself sorts as its logarithm would.
 		if t.score = unit(mix(key ^ t.hashed)); weighted {
-			w := 1.0
-			if t.Weight > 0 {
-				w = t.Weight
-			}
-			t.score = -w / math.Log(t.score)
+			t.score = -cmp.Or(max(0, t.Weight), 1) / math.Log(t.score)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b *target) int { return cmp.Compare(b.score, a.score) })
