--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,10 +23,9 @@
 	memoryAge = 10 * time.Second
 	// memorySize bounds the memory of hit holders, in objects (or parts).
 	memorySize = 1 << 14
-	// unansweredCount: this many attempts in a row past their aim mark the one who owes the answer down; one
-	// met seldom goes at unansweredLeast, if it answered nothing for silentFor: each of a large fleet would
-	// else lose the count to it. Fewer notices silence sooner, and mistakes a jam for it more often.
-	unansweredCount, unansweredLeast, silentFor = 20, 3, 5 * time.Second
+	// unansweredCount: this many attempts in a row past their aim mark the one who owes the answer down, or
+	// silentCount, met seldom, in silentFor. Fewer notices silence sooner, and takes a jam for it more often.
+	unansweredCount, silentCount, silentFor = 20, 3, 5 * time.Second
 	// failShareDown: share of late attempts that failed at which a cache or parent counts as down, with
 	// failGain the weight of the newest one.
 	failShareDown, failGain = 0.5, 1.0 / 8
@@ -358,10 +357,11 @@
 // places is what this router has out at a target: attempts, and of those that only name it as their
 // source the share that will need it. Counting them all would shut a parent for hits it never sees.
 func (r *Router) places(t *target) float64 {
+	fills := float64(r.fillShare)*float64(t.fills) + float64(r.originShare)*float64(t.deep)
 	if t.role == origin {
-		return float64(len(t.out)) + float64(r.originShare)*float64(t.deep) + float64(r.fillShare)*float64(t.fills)
+		return float64(len(t.out)) + fills
 	}
-	return float64(len(t.out)-t.through) + float64(r.fillShare)*float64(t.fills)
+	return float64(len(t.out)-t.through) + fills
 }
 
 // adapt moves the limit of the one that decided how long an answer took: up if in time, down if late. With
@@ -487,7 +487,7 @@
 
 func (r *Router) unanswered(t *target) {
 	t.unanswered++
-	if t.unanswered >= unansweredCount || t.unanswered >= unansweredLeast && r.now-t.lastAnswer >= silentFor {
+	if t.unanswered >= unansweredCount || t.unanswered >= silentCount && r.now-t.lastAnswer >= silentFor {
 		r.markDown(t, "silent")
 	}
 }
@@ -613,8 +613,8 @@
 		a.source.credit += a.fill
 	}
 	// A late fill is its source's doing where the first byte was what took long, else that of a link: its
-	// source's, where fills from others come in time, or the location's. One jam there feeds itself: fills run
-	// on without a client, and are asked for again.
+	// source's, where fills from others come in time, or the location's. One jam there feeds itself: fills
+	// run on without a client, and are asked for again.
 	decided, soon := a.to, o.Waited <= q.class.Target/2
 	if filled && a.source != nil {
 		decided = a.source
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -411,7 +411,7 @@
 		s.r.overdue(a)
 		s.on(Outcome{ID: id, Cache: g.Cache, Result: TimedOut, Closed: true})
 	}
-	if lost != unansweredLeast {
+	if lost != silentCount {
 		t.Errorf("down after %d", lost)
 	}
 }
