--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -118,23 +118,12 @@
 // ending: reads are served all the same, over the next connection.
 func TestPeerClosesAsRequestsGoOut(t *testing.T) {
 	p := scenario.NewProxy(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			buf := resp.Buffer{Most: resp.MostAnswered}
-			if parts, _, err := buf.Next(nc); err == nil {
-				_, _ = nc.Write(resp.Append(nil, string(parts[1]), "served", "", "BYTES"))
-			}
-			nc.Close()
+	m := core.Member{Addr: scenario.ListenOnce(t, func(nc net.Conn) {
+		buf := resp.Buffer{Most: resp.MostAnswered}
+		if parts, _, err := buf.Next(nc); err == nil {
+			_, _ = nc.Write(resp.Append(nil, string(parts[1]), "served", "", "BYTES"))
 		}
-	}()
-	m := core.Member{Addr: ln.Addr().String()}
+	})}
 	m.ID, m.Weight = scenario.CacheID, 10
 	p.Core.Members(membership.Publish{Version: 2, Members: []core.Member{m}})
 	for i := range 300 {
--- a/internal/lab/load/pace_test.go
+++ b/internal/lab/load/pace_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ravenwheel/internal/clock"
+	"ravenwheel/internal/scenario"
 )
 
 // A course gives as many requests as the area under it, in order and within its time.
@@ -36,21 +37,10 @@
 
 // Clients that misbehave do so, and come again when they are turned out.
 func TestMisbehave(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	go func() {
-		for {
-			nc, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			nc.Close()
-		}
-	}()
+	addr := scenario.ListenOnce(t, func(net.Conn) {})
 	crowd, err := ParseBad("idle=3,half=2,leave=1")
 	require.NoError(t, err)
-	b := Misbehave(ln.Addr().String(), crowd, clock.System())
+	b := Misbehave(addr, crowd, clock.System())
 	require.Eventually(t, func() bool { return b.Ended.Load() > 10 }, time.Minute, time.Millisecond)
 	b.Stop()
 	for _, bad := range []string{"idle", "idle=x", "idle=99999", "rude=1"} {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -225,6 +225,24 @@
 	return s
 }
 
+// ListenOnce serves each connection once, closes it, and returns where it listens.
+func ListenOnce(t *testing.T, serve func(net.Conn)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			serve(nc)
+			_ = nc.Close()
+		}
+	}()
+	return ln.Addr().String()
+}
+
 // Addr is where it listens.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
