--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -17,6 +17,7 @@
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/front/resp"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/store"
@@ -99,14 +100,23 @@
 		return err
 	}
 	c.Log = func(text string) { log.Info("module").Msg(text) }
-	var st *store.Store
+	var (
+		st    *store.Store
+		heard chan replica.Change
+		facts func(replica.Change)
+	)
+	if operator.Store.Name != "" {
+		// Made before the store opens: what it applies while this proxy starts is told, not passed over.
+		heard = make(chan replica.Change, 1024)
+		facts = func(c replica.Change) { heard <- c }
+	}
 	if operator.Store.Name != "" || operator.Signed != nil {
-		if st, err = operator.OpenStore(clk); err != nil {
+		if st, err = operator.OpenStore(clk, facts); err != nil {
 			return err
 		}
 		defer st.Close()
 	}
-	src, err := startSources(operator, conf, clk, log, c, st)
+	src, err := startSources(operator, conf, clk, log, c, st, heard)
 	if err != nil {
 		return err
 	}
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -53,8 +53,10 @@
 	heard  chan replica.Change // facts of the store, in order
 }
 
-// startSources takes in what is known at the start, and follows what comes later.
-func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, st *store.Store) (*sources, error) {
+// startSources takes in what is known at the start, and follows what comes later: heard brings the facts of the store,
+// from before it opened (nil: none is shared).
+func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, st *store.Store,
+	heard chan replica.Change) (*sources, error) {
 	s := &sources{store: st, core: c, clk: clk, names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
 	s.facts = conf.Facts(0)
 	set := membership.Settings{}
@@ -143,10 +145,10 @@
 		}
 		go s.admin.Serve()
 	}
-	if storeAt >= 0 {
-		s.heard = make(chan replica.Change, 1024)
+	if storeAt >= 0 && heard != nil {
+		// After what was kept before the restart: a drain that the store ended meanwhile is ended here too.
+		s.heard = heard
 		go s.hear(storeAt, conf, log)
-		st.Facts(func(c replica.Change) { s.heard <- c })
 	}
 	if s.board != nil {
 		go s.board.Run(context.Background()) // also while stopping: the rules go on
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/decide/strict"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/store"
@@ -39,10 +40,10 @@
 // KeyRing are the signing keys of a file, by their id.
 type KeyRing map[string]store.Key
 
-// OpenStore starts this member of the store.
-func (o *Operator) OpenStore(clk *clock.Clock) (*store.Store, error) {
+// OpenStore starts this member of the store; facts is as store.Options.Facts.
+func (o *Operator) OpenStore(clk *clock.Clock, facts func(replica.Change)) (*store.Store, error) {
 	s := o.Store
-	so := store.Options{Timeout: o.Timeout(), Clock: clk, Peers: s.Peers, Join: s.Join, Dir: s.Dir}
+	so := store.Options{Timeout: o.Timeout(), Clock: clk, Peers: s.Peers, Join: s.Join, Dir: s.Dir, Facts: facts}
 	if s.Name != "" {
 		id, err := store.LoadIdentity(s.Identity, s.Name)
 		if err != nil {
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -14,7 +14,7 @@
 	mu       sync.RWMutex
 	state    *replica.State
 	watchers []chan replica.Revision
-	facts    func(replica.Change) // told of lists, drains and purges as they are applied; nil: nobody asks
+	facts    func(replica.Change) // set before raft starts, so that nothing applied goes untold; nil: nobody asks
 }
 
 // Apply takes one entry; its result is a replica.Result.
@@ -38,11 +38,17 @@
 	return r
 }
 
-// retell tells all facts that are held, as changes.
-func (f *fsm) retell() {
+// retell tells all facts that a new state holds, as changes, and the end of each drain that the old one held and the
+// new one does not: a member far behind is given a snapshot in place of the entries that ended them.
+func (f *fsm) retell(old *replica.State) {
 	if f.facts == nil {
 		return
 	}
+	for name := range old.Drains {
+		if _, held := f.state.Drains[name]; !held {
+			f.facts(replica.Change{Kind: replica.EndDrain, Name: name})
+		}
+	}
 	for name, l := range f.state.Lists {
 		f.facts(replica.Change{Kind: replica.SetList, Name: name, List: &l})
 	}
@@ -86,9 +92,10 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.state.Revision().Number
+	old := f.state
+	before := old.Revision().Number
 	f.state = s
-	f.retell()
+	f.retell(old)
 	if now := s.Revision(); now.Number != before {
 		f.tell(now)
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -59,6 +59,9 @@
 	Snapshot, Trailing uint64
 	Clock              *clock.Clock
 	Dial               func(addr string, wait time.Duration) (net.Conn, error) // nil: TCP
+	// Facts is told of every list, drain and purge: those a snapshot holds, and each change as this member applies it,
+	// from before the log is first read. It must return soon and not call the store. nil: nobody asks.
+	Facts func(replica.Change)
 }
 
 func (o Options) dialer() func(string, time.Duration) (net.Conn, error) {
@@ -91,7 +94,7 @@
 		o.Timeout = 2 * time.Second
 	}
 	o.Dial = o.dialer()
-	s := &Store{opt: o, fsm: &fsm{state: replica.New()}, budget: retry.New(retries)}
+	s := &Store{opt: o, fsm: &fsm{state: replica.New(), facts: o.Facts}, budget: retry.New(retries)}
 	if o.Self == (Member{}) {
 		return s, nil
 	}
@@ -479,15 +482,6 @@
 	return w
 }
 
-// Facts has f told of every list, drain and purge: those that are held now, and each as this member applies it. f must
-// return soon, and not call the store.
-func (s *Store) Facts(f func(replica.Change)) {
-	s.fsm.mu.Lock()
-	defer s.fsm.mu.Unlock()
-	s.fsm.facts = f
-	s.fsm.retell()
-}
-
 // Held is the number of spent and of revoked token ids kept.
 func (s *Store) Held() (spent, revoked int) {
 	_ = s.Read(false, func(st *replica.State) { spent, revoked = len(st.Spent), len(st.Revoked) })
