--- a/policy/policy.go
+++ b/policy/policy.go
@@ -247,10 +247,10 @@
 	q.attempts = append(q.attempts, a)
 	q.open++
 	to.out = append(to.out, a)
-	to.credit -= r.meanSend[q.Class]
+	to.credit -= r.sendingTime(q)
 	r.through(a, q.class.Uncached)
 	if source != nil && source != to {
-		a.fill = r.meanSend[q.Class]
+		a.fill = r.sendingTime(q)
 		source.credit -= a.fill
 		source.fills++
 		r.link.fills++
@@ -259,7 +259,7 @@
 			a.deep.deep++
 		}
 	}
-	own := typicalSize * r.meanSend[q.Class]
+	own := typicalSize * r.sendingTime(q)
 	if q.SizeKB > 0 && r.set.FlowKBPerS > 0 {
 		own = q.SizeKB / r.set.FlowKBPerS
 	}
@@ -295,6 +295,9 @@
 	r.do(g)
 }
 
+// sendingTime is the class's mean sending time in seconds.
+func (r *Router) sendingTime(q *request) float64 { return r.meanSend[q.Class] }
+
 // ---- Cache pick: a rendezvous hash over the location's ready caches ----
 
 // pick returns the cache for a request and, if it goes there as a trial, whose.
@@ -345,7 +348,7 @@
 	for i, c := range r.set.Classes {
 		best = max(best, c.Worth/r.meanSend[i])
 	}
-	if 2*q.class.Worth/r.meanSend[q.Class] < best {
+	if 2*q.class.Worth/r.sendingTime(q) < best {
 		return lowStanding
 	}
 	return 1
@@ -613,9 +616,6 @@
 	// source's, where fills from others come in time, or the location's. One jam there feeds itself: fills
 	// run on without a client, and are asked for again.
 	decided, soon := a.to, o.Waited <= q.class.Target/2
-	if a.deep != nil && (o.Result == OK || o.Result == TimedOut) { // at once: after a flush all reach it
-		r.originShare.learn(o.Note == NoteFilledOrigin || o.Result == TimedOut, failGain)
-	}
 	if filled && a.source != nil {
 		decided = a.source
 		if r.link.lateShare.learn(a.late && soon, failGain); !a.late {
@@ -652,9 +652,9 @@
 	if o.Result != OK {
 		return
 	}
-	r.served(a.to, r.meanSend[q.Class])
+	r.served(a.to, r.sendingTime(q))
 	if filled && a.source != nil {
-		r.served(a.source, r.meanSend[q.Class])
+		r.served(a.source, r.sendingTime(q))
 	}
 	took := o.Latency.Seconds()
 	if q.SizeKB > 0 && r.set.FlowKBPerS > 0 {
@@ -671,6 +671,7 @@
 	if q.class.Uncached {
 		return
 	}
+	r.originShare.learn(o.Note == NoteFilledOrigin, meanGain)
 	r.fillShare.learn(filled, meanGain)
 	switch {
 	case o.Note == NoteHit || o.Note == NoteNone && r.set.Details == DetailNone:
--- a/policy/state.go
+++ b/policy/state.go
@@ -139,7 +139,7 @@
 	meanTook    []float64 // seconds, by class: what they took lately
 	learned     []Time    // when, by class
 	fillShare   share     // of answers that took a fill
-	originShare share     // of fills that may reach the origin, those that did or timed out
+	originShare share     // and of those that the origin had to give
 	load        [foreign + 1]rate
 	linkSeen    [foreign + 1]float64 // the most that one of a role served this router, transfers
 }
