--- a/internal/decide/membership/ledger.go
+++ b/internal/decide/membership/ledger.go
@@ -178,6 +178,7 @@
 	told   bool    // published, and not as gone
 	direct bool    // its last word came from a direct source
 	hand   bool    // drained by hand
+	handAt float64 // since when
 	before bool    // as it stood before a restart: why it drains is not known
 	holds  string  // the address that is its own
 	until  float64 // Draining: gone then, where no list names it; Gone: forgotten then
@@ -214,7 +215,7 @@
 	now     float64
 	// was is who was in use before a restart, and restored that this is known.
 	was      map[policy.CacheID]Member
-	hand     map[policy.CacheID]bool
+	hand     map[policy.CacheID]float64 // drained by hand, since when
 	restored bool
 
 	out     []Action
@@ -234,7 +235,7 @@
 	}
 	l := &Ledger{
 		set: s, records: map[policy.CacheID]*record{}, at: map[string]map[policy.CacheID]struct{}{},
-		hand:  map[policy.CacheID]bool{},
+		hand:  map[policy.CacheID]float64{},
 		queue: map[string]map[policy.CacheID]struct{}{}, touched: map[policy.CacheID]struct{}{},
 	}
 	for _, x := range s.Sources {
@@ -268,8 +269,9 @@
 		}
 		r := &record{
 			id: m.ID, claims: make([]*claim, len(l.sources)), phase: x.Phase, since: min(x.Since, l.now),
-			why: "so before the restart", facts: m, before: true, hand: l.hand[m.ID],
+			why: "so before the restart", facts: m, before: true,
 		}
+		r.handAt, r.hand = l.handed(m.ID)
 		l.records[m.ID] = r
 		if x.Phase == Gone {
 			r.until = r.since + l.set.GoneFor
@@ -343,23 +345,38 @@
 
 // byHand books a drain by hand. It outlives the server's record: one that comes back is drained still.
 func (l *Ledger) byHand(e Drain) {
-	if e.On {
-		l.hand[e.ID] = true
-	} else {
+	if _, was := l.hand[e.ID]; e.On && !was {
+		l.hand[e.ID] = l.now
+	} else if !e.On {
 		delete(l.hand, e.ID)
 	}
 	r := l.records[e.ID]
 	if r == nil || r.hand == e.On {
 		return
 	}
-	r.hand = e.On
-	// Given back after a drain: most likely restarted meanwhile, as one that its list drained is.
-	if at, _, _ := r.word(); !e.On && at >= 0 && !l.sources[at].Direct && r.claims[at].said.Started == 0 && !r.claims[at].Warm {
+	since := r.handAt
+	r.handAt, r.hand = l.handed(e.ID)
+	// Given back after a drain: most likely restarted meanwhile, as one that its list drained is, unless the list tells
+	// of the start.
+	if at, _, _ := r.word(); !e.On && at >= 0 && float64(r.claims[at].said.Started)/1e6 < since && !r.claims[at].Warm {
 		r.claims[at].guessed = true
 	}
 	l.touched[e.ID] = struct{}{}
 }
 
+// handed tells whether a server is drained by hand, and since when.
+func (l *Ledger) handed(id policy.CacheID) (since float64, on bool) {
+	since, on = l.hand[id]
+	return since, on
+}
+
+// Knows tells whether a server is listed, remembered or drained by hand.
+func (l *Ledger) Knows(id policy.CacheID) bool {
+	r := l.records[id]
+	_, on := l.hand[id]
+	return on || r != nil && r.phase != Gone
+}
+
 func (l *Ledger) hear(at int) {
 	if at < 0 || at >= len(l.sources) {
 		return
@@ -379,7 +396,8 @@
 func (l *Ledger) claim(at int, e Entry, first bool) {
 	r := l.records[e.ID]
 	if r == nil {
-		r = &record{id: e.ID, claims: make([]*claim, len(l.sources)), hand: l.hand[e.ID]}
+		r = &record{id: e.ID, claims: make([]*claim, len(l.sources))}
+		r.handAt, r.hand = l.handed(e.ID)
 		l.records[e.ID] = r
 	}
 	old := r.claims[at]
@@ -390,7 +408,9 @@
 	// A list by hand does not know when a server was started. One that it names anew is taken for cold, or the
 	// full share of its objects would push it over; in the first list all run already. One that comes back from
 	// a drain is the process that drained, unless the list says when it was started.
-	if s := l.sources[at]; !s.Direct && e.Started == 0 {
+	if s := l.sources[at]; s.Direct && old != nil && old.guessed && e.Started == old.said.Started {
+		c.Started, c.guessed = old.Started, true // given back by hand; the board knows of no start since
+	} else if !s.Direct && e.Started == 0 {
 		switch {
 		case old != nil && old.State == policy.Draining && e.State == policy.Ready && !e.Warm:
 			c.guessed = true // drained by the list, as is done for a restart
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,6 +8,7 @@
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/logs"
+	"ravenwheel/policy"
 )
 
 // Options set up a roster.
@@ -49,6 +50,13 @@
 	return r.ledger.Views(), r.version
 }
 
+// Knows tells whether a server is listed, remembered or drained by hand.
+func (r *Roster) Knows(id policy.CacheID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.Knows(id)
+}
+
 // Restore has the ledger take up where one stood before a restart. It comes before the first Tell.
 func (r *Roster) Restore(list []membership.Remembered, floors map[int]uint64) {
 	r.mu.Lock()
