--- /dev/null
+++ b/cmd/ravenwheel/place.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"net"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/config"
+	"ravenwheel/internal/console"
+	"ravenwheel/internal/desk"
+	"ravenwheel/internal/front/resp"
+	"ravenwheel/internal/handover"
+	"ravenwheel/internal/logs"
+)
+
+// place is this process among those that may own its address, and the operators' way to it.
+type place struct {
+	desk    *desk.Desk
+	hand    *handover.Hand   // nil: no console is named, and no other process is looked for
+	console *console.Console // nil: none is named
+}
+
+// takePlace opens the console and finds the process that owns the address, if there is one. stop ends the program.
+func takePlace(conf *config.Config, clk *clock.Clock, log *logs.Log, stop context.CancelFunc) (p *place, err error) {
+	d := desk.New(desk.Options{Clock: clk, MemoryMB: conf.MemoryMB, Conns: conf.Sockets / 2, Stop: stop})
+	p = &place{desk: d}
+	if conf.Console == "" {
+		return p, nil
+	}
+	if p.console, err = console.Listen(conf.Console, d, log); err != nil {
+		return nil, err
+	}
+	go p.console.Serve()
+	if conf.Shared != "" {
+		p.hand, err = handover.Start(handover.Options{
+			Dir: conf.Shared, Listen: conf.Listen, Clock: clk, Log: log, Accept: d.Accept, Owns: d.Owns, Shares: d.Shares, Stop: d.Step,
+		})
+	}
+	if err != nil {
+		p.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// listen returns the clients' listener once it is this process's to use.
+func (p *place) listen(conf *config.Config) (net.Listener, error) {
+	if p.hand != nil {
+		return p.hand.Ready()
+	}
+	ln, err := net.Listen("tcp", conf.Listen)
+	if err == nil {
+		p.desk.Owns(true)
+		p.desk.Accept(true)
+	}
+	return ln, err
+}
+
+// serve has operators' calls carried out.
+func (p *place) serve(front *resp.Front, src *sources) {
+	p.desk.Serve(front, src, p.hand)
+}
+
+func (p *place) close() {
+	if p.console != nil {
+		p.console.Close()
+	}
+	if p.hand != nil {
+		p.hand.Close()
+	}
+}
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"runtime/pprof"
 	"syscall"
 	"time"
@@ -18,6 +16,7 @@
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/replica"
+	"ravenwheel/internal/desk"
 	"ravenwheel/internal/front/resp"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/store"
@@ -32,8 +31,6 @@
 	killAfter, stopMargin, idleEvery = 700, 100, 10
 	// leastConns, mostConns: connections to one cache server, one in connShare of the descriptors.
 	leastConns, mostConns, connShare = 4, 8, 32
-	// gcPercent: collections on one core delay what waits for it, and memory is there to make them rarer.
-	gcPercent = 400
 	// profileFor: a profile covers the start and some traffic, and is whole though SIGKILL follows.
 	profileFor = 20 * time.Second
 )
@@ -124,14 +121,19 @@
 		}
 		defer st.Close()
 	}
-	src, err := startSources(operator, conf, clk, log, c, st, heard, talk)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	place, err := takePlace(conf, clk, log, stop)
+	if err != nil {
+		return err
+	}
+	defer place.close()
+	src, err := startSources(operator, conf, clk, log, c, st, heard, talk, place.hand)
 	if err != nil {
 		return err
 	}
 	defer src.close()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	ln, err := net.Listen("tcp", conf.Listen)
+	ln, err := place.listen(conf)
 	if err != nil {
 		return err
 	}
@@ -140,6 +142,7 @@
 		return err
 	}
 	front := resp.New(ln, conf.Sockets/2, clk, c)
+	place.serve(front, src)
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve() }()
 	go func() {
@@ -152,20 +155,26 @@
 		return err
 	case <-ctx.Done():
 	}
-	drain(clk, front, conf, stopOperator)
+	drain(clk, front, conf, stopOperator, place.desk.Stop)
 	return nil
 }
 
-// drain lets what is still on its way in come, then answers what is open.
-func drain(clk *clock.Clock, front *resp.Front, conf *config.Config, stopOperator func(context.Context)) {
+// drain lets what is still on its way in come, then answers what is open. told has the front do so; where another
+// process has the clients by then, nothing is on its way here but what clients ask on connections that they hold.
+func drain(clk *clock.Clock, front *resp.Front, conf *config.Config, stopOperator func(context.Context), told func() (passed bool)) {
 	end := clk.Now() + clock.Ms(longest(conf)) + killAfter - stopMargin
-	pause(clk, stopGrace)
-	_ = front.Close()
+	owed := func() bool { return !front.Idle() }
+	if told() {
+		owed = func() bool { return front.Held() > 0 }
+	} else {
+		pause(clk, stopGrace)
+		_ = front.Close()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer clk.After(end-clk.Now(), cancel)()
 	stopOperator(ctx)
-	for !front.Idle() && clk.Now() < end {
+	for owed() && clk.Now() < end {
 		pause(clk, idleEvery)
 	}
 }
@@ -193,8 +202,5 @@
 		conf.Sockets = 1024
 	}
 	runtime.GOMAXPROCS(max(1, int(conf.Cores)))
-	if conf.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(conf.MemoryMB) << 20 * 5 / 8)
-		debug.SetGCPercent(gcPercent)
-	}
+	desk.Memory(conf.MemoryMB, false)
 }
--- a/cmd/ravenwheel/shared.go
+++ b/cmd/ravenwheel/shared.go
@@ -38,6 +38,9 @@
 	return err
 }
 
+// Knows implements desk.Servers.
+func (s *sources) Knows(id policy.CacheID) bool { return s.roster.Knows(id) }
+
 // Drain implements admin.Shared.
 func (s *sources) Drain(id policy.CacheID, on bool) error {
 	if !s.shares() {
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -15,6 +15,7 @@
 	"ravenwheel/internal/decide/recovery"
 	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/handover"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/peers"
 	"ravenwheel/internal/roster"
@@ -55,9 +56,10 @@
 }
 
 // startSources takes in what is known at the start, and follows what comes later: heard brings the facts of the store,
-// from before it opened (nil: none is shared). talk is this process among its peers (nil: alone).
+// from before it opened (nil: none is shared). talk is this process among its peers (nil: alone), hand what the process
+// before it has passed on (nil: nothing).
 func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, st *store.Store,
-	heard chan replica.Change, talk *peers.Peers) (*sources, error) {
+	heard chan replica.Change, talk *peers.Peers, hand *handover.Hand) (*sources, error) {
 	s := &sources{store: st, core: c, clk: clk, names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
 	s.facts = conf.Facts(0)
 	set := membership.Settings{}
@@ -119,6 +121,9 @@
 	for _, id := range plan.Hand {
 		s.roster.Tell(membership.Drain{ID: policy.CacheID(id), On: true})
 	}
+	if hand != nil {
+		hand.Follow(func(id policy.CacheID, out bool) { _ = s.drained(id, out) }) // kept by the hand-over, as well as by the keeper
+	}
 	if boardAt >= 0 {
 		notice := func(n board.Notice) { n.Tell(boardAt, s.roster.Tell, purged) }
 		for _, n := range conf.Known {
--- a/cmd/ravenwheel/stop_test.go
+++ b/cmd/ravenwheel/stop_test.go
@@ -41,7 +41,7 @@
 	ended := make(chan struct{})
 	operatorStopped := false
 	go func() {
-		drain(p.Clock, front, &config.Config{Settings: scenario.Settings()}, func(context.Context) { operatorStopped = true })
+		drain(p.Clock, front, &config.Config{Settings: scenario.Settings()}, func(context.Context) { operatorStopped = true }, func() bool { return false })
 		close(ended)
 	}()
 	var clients []*scenario.Client
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,8 @@
 // Config is all that a steering proxy is told at its start.
 type Config struct {
 	Name, Listen, Board string
+	Console             string // the operators' second address; empty: none
+	Shared              string // the directory that a process which takes over shares, where there is a console
 	Seed                uint64
 	Cores               float64
 	MemoryMB, Sockets   int
@@ -29,8 +31,8 @@
 }
 
 type file struct {
-	Name, Listen, Seed, Board string
-	Limits                    struct {
+	Name, Listen, Seed, Board, Console string
+	Limits                             struct {
 		Cores    float64
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int
@@ -62,7 +64,7 @@
 		return nil, err
 	}
 	c := &Config{
-		Name: f.Name, Listen: f.Listen, Board: f.Board,
+		Name: f.Name, Listen: f.Listen, Board: f.Board, Console: f.Console,
 		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
 	}
 	if v := getenv("LB_NAME"); v != "" {
@@ -71,6 +73,12 @@
 	if v := getenv("LB_LISTEN"); v != "" {
 		c.Listen = v
 	}
+	if v := getenv("LB_CONSOLE"); v != "" {
+		c.Console = v
+	}
+	if c.Console != "" {
+		c.Shared = getenv("TMPDIR")
+	}
 	var err error
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return nil, fmt.Errorf("seed %q is not a hexadecimal number", f.Seed)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -203,6 +203,14 @@
 // Unanswered books a connection that a front closed before it had any answer.
 func (c *Core) Unanswered() { c.Counters.Unanswered.Add(1) }
 
+// Refuse turns a request away that its front does not bring in, as the proxy is being emptied: it never ran.
+func (c *Core) Refuse() Answer {
+	for _, n := range []*atomic.Int64{&c.Counters.Requests, &c.Counters.Refused, &c.Counters.Unsent} {
+		n.Add(1)
+	}
+	return Answer{Verdict: Refused, Backoff: clock.Ms(c.set.MaxRetryAfter)}
+}
+
 // ClassOf finds a class by its name; -1 if there is none.
 func (c *Core) ClassOf(name string) int {
 	for i, n := range c.classes {
--- /dev/null
+++ b/internal/desk/desk.go
@@ -0,0 +1,209 @@
+// Package desk is the proxy as a whole in operators' hands: it brings what the console and another process tell to the
+// deciders (drain, membership, handover) and carries out what they say at the clients' front. It decides nothing.
+package desk
+
+import (
+	"errors"
+	"fmt"
+	"runtime/debug"
+	"sync"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/drain"
+	"ravenwheel/internal/handover"
+	"ravenwheel/policy"
+)
+
+// settings: whoever sends clients asks ten times a second and stops 0.2 s after a no; after 2 s none may come any more.
+var settings = drain.Settings{FrontAfter: 350, RefuseAfter: 1600}
+
+// Front is the clients' front, as far as it is told.
+type Front interface {
+	Takes(yes bool)
+	Empty(drain.Plan)
+	Accepting(on bool)
+	SetMost(n int)
+	Held() int
+}
+
+// Servers are who carries out what operators say of one.
+type Servers interface {
+	Knows(id policy.CacheID) bool
+	Drain(id policy.CacheID, on bool) error
+}
+
+// Options are what a desk is made of.
+type Options struct {
+	Clock    *clock.Clock
+	MemoryMB int // 0: not bounded
+	Conns    int // clients' connections, of all processes together
+	Stop     func()
+}
+
+// Desk is one proxy's. It is a console.Desk, and what handover.Options call on.
+type Desk struct {
+	opt Options
+
+	mu        sync.Mutex
+	state     drain.State
+	front     Front // nil: none yet
+	servers   Servers
+	hand      *handover.Hand // nil: no other process can take over
+	accepting bool
+	shared    bool
+	passed    bool // another process has the clients
+}
+
+// New returns the desk of a proxy that has just started.
+func New(o Options) *Desk { return &Desk{opt: o} }
+
+// Serve tells what the desk works with. The proxy serves once it owns its address.
+func (d *Desk) Serve(f Front, s Servers, h *handover.Hand) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.front, d.servers, d.hand = f, s, h
+	d.apply()
+}
+
+// apply has the front do as the state says.
+func (d *Desk) apply() {
+	if d.front == nil {
+		return
+	}
+	d.front.Takes(d.state.Takes())
+	d.front.Accepting(d.accepting)
+	d.front.Empty(d.state.Plan(settings, d.passed))
+	most := d.opt.Conns
+	if d.shared { // honest clients hold a third of all descriptors, and move from one process to the other
+		most = most * 3 / 4
+	}
+	d.front.SetMost(most)
+}
+
+func (d *Desk) handle(e drain.Event) bool {
+	ok := d.state.Handle(d.opt.Clock.Now(), e)
+	d.apply()
+	return ok
+}
+
+// Owns tells whether this process owns the address, or another one does.
+func (d *Desk) Owns(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.passed = !on; on {
+		d.handle(drain.Own)
+	} else {
+		d.handle(drain.Yield)
+	}
+}
+
+// Accept has new connections taken, or left.
+func (d *Desk) Accept(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.accepting = on
+	d.apply()
+}
+
+// Shares tells whether another process runs beside this one: the limits are for both together.
+func (d *Desk) Shares(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.shared == on {
+		return
+	}
+	d.shared = on
+	Memory(d.opt.MemoryMB, on)
+	if on {
+		go debug.FreeOSMemory()
+	}
+	d.apply()
+}
+
+// gcPercent: collections on one core delay what waits for it, and memory is there to make them rarer. Shared, it is not.
+const gcPercent, gcShared = 400, 50
+
+// Memory keeps the runtime within what the platform gives, less what the runtime does not count; shared: within half.
+func Memory(mb int, shared bool) {
+	if mb <= 0 {
+		return
+	}
+	limit, percent := int64(mb)<<20*5/8, gcPercent
+	if shared {
+		limit, percent = limit/2, gcShared
+	}
+	debug.SetMemoryLimit(limit)
+	debug.SetGCPercent(percent)
+}
+
+// Step has the proxy end, as another process owns its address.
+func (d *Desk) Step(string) {
+	d.mu.Lock()
+	d.passed = true
+	d.handle(drain.Yield)
+	d.mu.Unlock()
+	d.opt.Stop()
+}
+
+// Stop tells that the proxy was told to end; passed whether another process has its clients.
+func (d *Desk) Stop() (passed bool) {
+	d.mu.Lock()
+	h := d.hand
+	d.mu.Unlock()
+	if h != nil {
+		passed = h.Ending()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.handle(drain.Stop)
+	return passed || d.passed
+}
+
+// Status implements console.Desk.
+func (d *Desk) Status() (text string, ready bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.state.Phase()
+	if p == drain.Draining && d.front != nil {
+		if n := d.front.Held(); n > 0 {
+			return fmt.Sprintf("draining, %d connections left", n), false
+		}
+		return "drained", false
+	}
+	return p.String(), p == drain.Serving && d.front != nil
+}
+
+// Pause implements console.Desk.
+func (d *Desk) Pause(on bool) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := drain.Resume
+	if on {
+		e = drain.Pause
+	}
+	if !d.handle(e) {
+		return fmt.Errorf("this process is %s", d.state.Phase())
+	}
+	return nil
+}
+
+// Out implements console.Desk. What is asked is in force before it is kept, and kept before it is told.
+func (d *Desk) Out(id policy.CacheID, out bool) error {
+	d.mu.Lock()
+	servers, hand := d.servers, d.hand
+	d.mu.Unlock()
+	switch {
+	case servers == nil:
+		return errors.New("not ready")
+	case !servers.Knows(id):
+		return errors.New("no such cache server")
+	}
+	err := servers.Drain(id, out)
+	if hand != nil {
+		err = errors.Join(err, hand.Take(id, out))
+	}
+	if err != nil {
+		return fmt.Errorf("in force here, but not kept: %w", err)
+	}
+	return nil
+}
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -8,15 +8,19 @@
 	"errors"
 	"maps"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
+	"golang.org/x/sys/unix"
 
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/drain"
 	"ravenwheel/internal/invariant"
 	"ravenwheel/internal/resp"
 	"ravenwheel/policy"
@@ -27,7 +31,8 @@
 	Do(context.Context, core.Request) core.Answer
 	ClassOf(name string) int
 	Settings() policy.Settings
-	Unanswered() // a connection was closed by the front before it had any answer
+	Unanswered()         // a connection was closed by the front before it had any answer
+	Refuse() core.Answer // a request that comes while the proxy is emptied
 }
 
 const (
@@ -40,6 +45,10 @@
 	keepIn = 8 << 10
 	// silentFor: a connection that has sent nothing, or no more than half a frame, for so many ms is closed.
 	silentFor, sweepEvery = 1500, 250
+	// emptyEvery: so often it is looked, while the proxy is emptied, which connections are at rest, in ms. lingerFor: a
+	// client that was told that its connection ends, and does not end it, has that long.
+	emptyEvery = 10
+	lingerFor  = time.Second
 	// newFor: one that is silent for so many ms is no client on the point of asking.
 	newFor = 100
 	// writeWait: a client that takes nothing for so long has given up all that it waited for.
@@ -50,18 +59,24 @@
 type Front struct {
 	clock *clock.Clock
 	core  Doer
-	most  int
+	most  atomic.Int64
 	busy  atomic.Int64 // requests open and bytes not yet written
+	takes atomic.Bool  // whoever asks is told that work is taken
+	plan  atomic.Pointer[drain.Plan]
 	srv   *redcon.Server
 	ln    net.Listener
 
-	mu    sync.Mutex
-	conns map[*guard]struct{}
+	mu     sync.Mutex
+	conns  map[*guard]struct{}
+	halted chan struct{} // closed once connections are accepted again; nil: they are
 }
 
 // New returns a front on ln that holds at most so many connections.
 func New(ln net.Listener, most int, c *clock.Clock, d Doer) *Front {
-	f := &Front{clock: c, core: d, most: most, ln: ln, conns: map[*guard]struct{}{}}
+	f := &Front{clock: c, core: d, ln: ln, conns: map[*guard]struct{}{}}
+	f.most.Store(int64(most))
+	f.takes.Store(true)
+	f.plan.Store(&drain.Plan{})
 	f.srv = redcon.NewServer(ln.Addr().String(), f.first, nil, nil)
 	return f
 }
@@ -73,7 +88,72 @@
 }
 
 // Close stops accepting; connections that are open go on.
-func (f *Front) Close() error { return f.ln.Close() }
+func (f *Front) Close() error {
+	err := f.ln.Close()
+	f.Accepting(true) // whoever waits to accept sees the end
+	return err
+}
+
+// SetMost changes how many connections are held. Those that are open stay.
+func (f *Front) SetMost(n int) { f.most.Store(int64(n)) }
+
+// Held is how many connections are open.
+func (f *Front) Held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+// Takes sets what whoever asks is told: whether the proxy takes work.
+func (f *Front) Takes(yes bool) { f.takes.Store(yes) }
+
+// Accepting has new connections accepted, or left to another process that holds the same listener.
+func (f *Front) Accepting(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ln, ok := f.ln.(*net.TCPListener)
+	switch {
+	case on && f.halted != nil:
+		if ok {
+			_ = ln.SetDeadline(time.Time{})
+		}
+		close(f.halted)
+		f.halted = nil
+	case !on && f.halted == nil && ok:
+		f.halted = make(chan struct{})
+		_ = ln.SetDeadline(time.Unix(1, 0)) // ends the accept that waits
+	}
+}
+
+func (f *Front) halt() chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.halted
+}
+
+// Empty has connections treated as a plan says, until the next one.
+func (f *Front) Empty(p drain.Plan) {
+	if was := f.plan.Swap(&p); p.On && !was.On {
+		f.clock.After(emptyEvery, f.empty)
+	}
+}
+
+// empty ends the connections that the plan ends.
+func (f *Front) empty() {
+	p := f.plan.Load()
+	if !p.On {
+		return
+	}
+	f.clock.After(emptyEvery, f.empty)
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for g := range f.conns {
+		if !g.left && p.Ends(now, g.facts(now)) && g.leave() {
+			go g.finish()
+		}
+	}
+}
 
 // sweep ends the connections that have said nothing, or half of a frame, for too long.
 func (f *Front) sweep() {
@@ -94,7 +174,7 @@
 	g.buf.Most, g.buf.Keep = resp.MostAsked, keepIn
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.conns) >= f.most && !f.shed() {
+	if len(f.conns) >= int(f.most.Load()) && !f.shed() {
 		return nil, false
 	}
 	f.conns[g] = struct{}{}
@@ -150,7 +230,13 @@
 
 func (g guarded) Accept() (net.Conn, error) {
 	for {
+		if halt := g.front.halt(); halt != nil {
+			<-halt
+		}
 		nc, err := g.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -237,6 +323,44 @@
 	return true
 }
 
+// facts are what the plan wants to know. Called under the front's lock.
+func (g *guard) facts(now float64) drain.Conn {
+	c := drain.Conn{Half: g.half, New: !g.asked && now-g.since < newFor, Unread: g.unread()}
+	if g.client != nil {
+		g.client.mu.Lock()
+		c.Open = len(g.client.open) + len(g.client.out)
+		g.client.mu.Unlock()
+	}
+	return c
+}
+
+// unread tells whether bytes have come that nobody has read.
+func (g *guard) unread() (some bool) {
+	sc, ok := g.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// finish tells a client that its connection ends, and ends it once the client has. Guards against a close that throws
+// away what a slow reader has not taken yet.
+func (g *guard) finish() {
+	if tcp, ok := g.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		time.AfterFunc(lingerFor, func() { g.Close() })
+		return
+	}
+	g.Close()
+}
+
 // client is one connection. Its writer sends what answers have put into the one out buffer.
 type client struct {
 	front *Front
@@ -284,7 +408,11 @@
 		}
 		c.mu.Unlock()
 	case "RPC.HEALTH":
-		c.send(word(tag, "yes"))
+		if c.front.takes.Load() {
+			c.send(word(tag, "yes"))
+		} else {
+			c.send(word(tag, "no"))
+		}
 	default:
 		c.send(word(tag, "fault"))
 	}
@@ -315,6 +443,13 @@
 		cancel()
 		c.send(word(tag, "fault"))
 		return nil
+	case !c.front.plan.Load().Hears(now):
+		c.mu.Lock()
+		delete(c.open, tag)
+		c.mu.Unlock()
+		cancel()
+		c.send(func(b []byte) []byte { return appendAnswer(b, tag, c.front.core.Refuse()) })
+		return nil
 	}
 	c.front.busy.Add(1)
 	go func() {
--- a/internal/front/resp/leave_test.go
+++ b/internal/front/resp/leave_test.go
@@ -31,7 +31,8 @@
 func TestLeave(t *testing.T) {
 	clk := clock.Manual(0)
 	n := &counts{}
-	f := &Front{clock: clk, core: n, most: 1, conns: map[*guard]struct{}{}}
+	f := &Front{clock: clk, core: n, conns: map[*guard]struct{}{}}
+	f.most.Store(1)
 	g, ok := f.admit(late{frame: strings.NewReader("*2\r\n$10\r\nRPC.HEALTH\r\n$1\r\n1\r\n")})
 	require.True(t, ok)
 	_, ok = f.admit(late{})
--- /dev/null
+++ b/internal/handover/record.go
@@ -0,0 +1,152 @@
+package handover
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/policy"
+)
+
+// errFenced says that another process owns by now: what this one would keep would undo what that one kept.
+var errFenced = errors.New("another process owns the address")
+
+// mostOut bounds what is taken out by hand, and what a record may say.
+const mostOut, mostRecord = 1024, 64 << 10
+
+// record is what an owner keeps, under its generation: which servers are out by hand. It lies in the directory that
+// outlives the process. It is replaced whole; nothing is forced to the disk, as what a machine loses with its memory it
+// loses with its processes.
+type record struct {
+	path string
+	mu   sync.Mutex
+	kept kept
+}
+
+type kept struct {
+	Generation uint64   `json:"generation"`
+	Out        []string `json:"out"`
+}
+
+// load reads the record. One that can't be used counts as none: it is not worth a start.
+func (r *record) load() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k, err := r.read()
+	if err == nil {
+		r.kept = k
+	}
+	return err
+}
+
+func (r *record) read() (k kept, err error) {
+	text, err := os.ReadFile(r.path)
+	if errors.Is(err, os.ErrNotExist) {
+		return k, nil
+	}
+	if err == nil && len(text) > mostRecord {
+		err = fmt.Errorf("%s: larger than a record can be", r.path)
+	}
+	if err == nil {
+		if err = json.Unmarshal(text, &k); err != nil {
+			err = fmt.Errorf("%s: %w", r.path, err)
+		}
+	}
+	if err == nil {
+		_, err = ids(k.Out)
+	}
+	if err != nil {
+		return kept{}, err
+	}
+	return k, nil
+}
+
+// ids reads names of servers, as untrusted as the file or process that they came from.
+func ids(names []string) (list []policy.CacheID, err error) {
+	if len(names) > mostOut {
+		return nil, fmt.Errorf("%d servers out by hand are more than %d", len(names), mostOut)
+	}
+	for _, n := range names {
+		id, ok := serverlist.ID(n)
+		if !ok {
+			return nil, fmt.Errorf("%q is no server's id", n)
+		}
+		list = append(list, id)
+	}
+	return list, nil
+}
+
+// out are the servers that are out by hand.
+func (r *record) out() []policy.CacheID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list, _ := ids(r.kept.Out)
+	return list
+}
+
+// own keeps what is known under this process's generation.
+func (r *record) own(generation uint64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	next := r.kept
+	next.Generation = generation
+	return r.write(next)
+}
+
+// put keeps that a server is out, or no longer.
+func (r *record) put(id policy.CacheID, out bool) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name := serverlist.Name(id)
+	if slices.Contains(r.kept.Out, name) == out {
+		return nil
+	}
+	next := kept{r.kept.Generation, slices.DeleteFunc(slices.Clone(r.kept.Out), func(n string) bool { return n == name })}
+	if out {
+		if next.Out = append(next.Out, name); len(next.Out) > mostOut {
+			return fmt.Errorf("no more than %d servers can be out by hand", mostOut)
+		}
+	}
+	return r.write(next)
+}
+
+// note takes in what the owner has kept, in this process's memory alone.
+func (r *record) note(id policy.CacheID, out bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	name := serverlist.Name(id)
+	r.kept.Out = slices.DeleteFunc(r.kept.Out, func(n string) bool { return n == name })
+	if out && len(r.kept.Out) < mostOut {
+		r.kept.Out = append(r.kept.Out, name)
+	}
+}
+
+// replace takes in all that the owner has kept.
+func (r *record) replace(out []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kept.Out = slices.Clone(out)
+}
+
+// write replaces the record. Guards against an owner that was stopped and wakes up late: it finds a higher generation.
+func (r *record) write(next kept) error {
+	if now, err := r.read(); err == nil && now.Generation > next.Generation {
+		return errFenced
+	}
+	text, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	part := fmt.Sprintf("%s.%d", r.path, os.Getpid())
+	if err = os.WriteFile(part, text, 0o600); err == nil {
+		err = os.Rename(part, r.path)
+	}
+	if err == nil {
+		r.kept = next
+	}
+	return err
+}
