Hand-over: an old process that ends takes nothing back from its successor

Checked: the owner's record had a third generation that no process logged; with the calls and the deciders ruled out (the successor had said that it serves, the lock was passed on), what was left is the old process's end: Close ends its connections, their readers tell Left, and the machine takes back what it gave, in the process's last moment. Change: a part that is closed hears nothing more (handover.go, tell and Close). Tests: a chain of processes, successors that die, an owner that hangs, stale files; TestChain holds the generation.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -80,6 +80,7 @@
 	owns    chan struct{} // closed once this process owns
 	failed  chan error
 	wake    func()
+	closed  bool
 
 	orders sync.Mutex // one at a time, also those from the other process
 	out    func(id policy.CacheID, out bool)
@@ -161,6 +162,7 @@
 func (h *Hand) Close() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.closed = true
 	h.wake()
 	if h.meet != nil {
 		h.meet.Close()
@@ -180,6 +182,11 @@
 func (h *Hand) tell(e decide.Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	// Guards against an end that looks like the other process's: closing the connections once had this process, in its
+	// last moment, take back what it had given, and the owner stepped back.
+	if h.closed {
+		return
+	}
 	for events := []decide.Event{e}; len(events) > 0; events = events[1:] {
 		for _, a := range h.machine.Handle(h.opt.Clock.Now(), events[0]) {
 			if next := h.do(a); next != nil {
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,176 @@
+package handover
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	decide "ravenwheel/internal/decide/handover"
+	"ravenwheel/policy"
+)
+
+// process is one of several in a test, as far as its part in a hand-over goes.
+type process struct {
+	*Hand
+	ln  net.Listener
+	mu  sync.Mutex
+	out map[policy.CacheID]bool
+	got struct{ accepts, owns, shares, stopped bool }
+}
+
+type world struct {
+	t   *testing.T
+	dir string
+	clk *clock.Clock
+	at  string
+}
+
+func newWorld(t *testing.T) *world {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return &world{t: t, dir: t.TempDir(), clk: clock.Manual(1000), at: ln.Addr().String()}
+}
+
+// start returns a process that knows what was told.
+func (w *world) start() *process {
+	p := &process{out: map[policy.CacheID]bool{}}
+	set := func(b *bool) func(bool) {
+		return func(on bool) { p.mu.Lock(); *b = on; p.mu.Unlock() }
+	}
+	h, err := Start(Options{
+		Dir: w.dir, Listen: w.at, Clock: w.clk, Accept: set(&p.got.accepts), Owns: set(&p.got.owns), Shares: set(&p.got.shares),
+		Stop: func(string) { set(&p.got.stopped)(true) },
+	})
+	require.NoError(w.t, err)
+	p.Hand = h
+	h.Follow(func(id policy.CacheID, out bool) { p.mu.Lock(); p.out[id] = out; p.mu.Unlock() })
+	w.t.Cleanup(h.Close)
+	return p
+}
+
+func (w *world) own(p *process) *process {
+	var err error
+	p.ln, err = p.Ready()
+	require.NoError(w.t, err)
+	return p
+}
+
+func (w *world) becomes(p *process, why string, is func() bool) {
+	w.t.Helper()
+	require.Eventually(w.t, func() bool {
+		p.mu.Lock()
+		ok := is()
+		p.mu.Unlock()
+		if !ok {
+			w.clk.Advance(10)
+		}
+		return ok
+	}, time.Minute, time.Millisecond, why)
+}
+
+// A chain of processes takes over one from the other: one queue of connections all the way, what operators told goes
+// along, and one that ends takes nothing back.
+func TestChain(t *testing.T) {
+	w := newWorld(t)
+	old := w.own(w.start())
+	require.NoError(t, old.Take(7, true))
+	waits, err := net.Dial("tcp", w.at) // in the queue, and nobody has accepted it
+	require.NoError(t, err)
+	defer waits.Close()
+	for n := range 5 {
+		next := w.start()
+		require.True(t, next.out[7])
+		w.own(next)
+		w.becomes(old, "it leaves the clients", func() bool { return !old.got.accepts && !old.got.owns })
+		require.NoError(t, old.Take(policy.CacheID(100+n), true), "told to the old one")
+		w.becomes(next, "what is told to one binds both", func() bool { return next.out[policy.CacheID(100+n)] })
+		require.NoError(t, next.Take(7, n%2 == 1))
+		w.becomes(old, "and the other way", func() bool { return old.out[7] == (n%2 == 1) })
+		require.True(t, old.Ending())
+		old.Close()
+		require.NoError(t, old.ln.Close())
+		w.becomes(next, "alone", func() bool { return !next.got.shares })
+		require.NoError(t, next.Take(7, true))
+		require.EqualValues(t, n+2, next.generation(), "an end is not taken for the successor's: nothing was taken back")
+		old = next
+	}
+	nc, err := old.ln.Accept()
+	require.NoError(t, err)
+	require.Equal(t, waits.LocalAddr().String(), nc.RemoteAddr().String())
+	require.Len(t, old.record.out(), 6)
+}
+
+// Successors that die: before they ask to own nothing has happened; after, the owner goes on with what it still holds.
+func TestSuccessorDies(t *testing.T) {
+	w := newWorld(t)
+	old := w.own(w.start())
+	w.start().Close()
+	w.becomes(old, "serving still", func() bool { return old.machine.Phase() == decide.Owning && old.got.accepts })
+	next := w.own(w.start())
+	w.becomes(old, "given", func() bool { return !old.got.accepts })
+	next.Close()
+	w.becomes(old, "taken back", func() bool { return old.got.accepts && old.got.owns })
+	w.own(w.start())
+	w.becomes(old, "given once more", func() bool { return !old.got.accepts })
+}
+
+// An owner that lives and says nothing is passed over after its time; it finds who owns, and may keep nothing any more.
+func TestOwnerHangs(t *testing.T) {
+	w := newWorld(t)
+	old := w.own(w.start())
+	old.mu.Lock()
+	require.NoError(t, os.Remove(old.base+".sock")) // nobody comes through to it
+	old.mu.Unlock()
+	started := make(chan *process)
+	go func() { started <- w.start() }()
+	var next *process
+	require.Eventually(t, func() bool {
+		select {
+		case next = <-started:
+			return true
+		default:
+			w.clk.Advance(10)
+			return false
+		}
+	}, time.Minute, time.Millisecond)
+	w.own(next)
+	require.NoError(t, next.Take(5, true))
+	require.ErrorIs(t, old.record.put(6, true), errFenced)
+	w.becomes(old, "steps back", func() bool { return old.got.stopped && !old.got.accepts })
+	require.Equal(t, []policy.CacheID{5}, next.record.out())
+	old.Close()
+	w.becomes(next, "and has the lock once that one is gone", func() bool { return next.lock != nil })
+}
+
+// What lies about from a process long gone, or was written by nobody of ours, does not keep one from starting.
+func TestStale(t *testing.T) {
+	for name, text := range map[string]string{"none": "", "rubbish": "{{{", "ids": `{"generation":9,"out":["x"]}`, "large": strings.Repeat(" ", mostRecord+1)} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			first := w.own(w.start())
+			require.NoError(t, first.ln.Close())
+			first.Close()
+			if text != "" {
+				require.NoError(t, os.WriteFile(first.record.path, []byte(text), 0o600))
+			}
+			require.FileExists(t, first.base+".sock")
+			w.own(w.start())
+		})
+	}
+	t.Run("a directory with a long name", func(t *testing.T) {
+		w := newWorld(t)
+		w.dir = filepath.Join(w.dir, strings.Repeat("d", 120))
+		require.NoError(t, os.Mkdir(w.dir, 0o700))
+		old := w.own(w.start())
+		w.own(w.start())
+		w.becomes(old, "given", func() bool { return !old.got.owns })
+	})
+}
