Hand-over tests: look at a process's phase under its lock

Change: the test reads phase and lock under the part's own lock. Result: go test -race -count=5 ./internal/handover passes.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -25,6 +25,12 @@
 	got struct{ accepts, owns, shares, stopped bool }
 }
 
+func (p *process) phase() decide.Phase {
+	p.Hand.mu.Lock()
+	defer p.Hand.mu.Unlock()
+	return p.machine.Phase()
+}
+
 type world struct {
 	t   *testing.T
 	dir string
@@ -113,7 +119,7 @@
 	w := newWorld(t)
 	old := w.own(w.start())
 	w.start().Close()
-	w.becomes(old, "serving still", func() bool { return old.machine.Phase() == decide.Owning && old.got.accepts })
+	w.becomes(old, "serving still", func() bool { return old.phase() == decide.Owning && old.got.accepts })
 	next := w.own(w.start())
 	w.becomes(old, "given", func() bool { return !old.got.accepts })
 	next.Close()
@@ -147,7 +153,7 @@
 	w.becomes(old, "steps back", func() bool { return old.got.stopped && !old.got.accepts })
 	require.Equal(t, []policy.CacheID{5}, next.record.out())
 	old.Close()
-	w.becomes(next, "and has the lock once that one is gone", func() bool { return next.lock != nil })
+	w.becomes(next, "and has the lock once that one is gone", func() bool { next.Hand.mu.Lock(); defer next.Hand.mu.Unlock(); return next.lock != nil })
 }
 
 // What lies about from a process long gone, or was written by nobody of ours, does not keep one from starting.
