--- a/internal/decide/handover/handover.go
+++ b/internal/decide/handover/handover.go
@@ -79,6 +79,11 @@
 	Serves struct{ From int }
 	// Left: the connection to it has ended.
 	Left struct{ From int }
+	// Claimed is whether the generation asked for is this process's; Generation is the one that is kept.
+	Claimed struct {
+		OK         bool
+		Generation uint64
+	}
 	// Superseded: another process owns under a generation.
 	Superseded struct{ Generation uint64 }
 	// Ending: the process was told to end.
@@ -100,6 +105,7 @@
 func (Take) event()       {}
 func (Serves) event()     {}
 func (Left) event()       {}
+func (Claimed) event()    {}
 func (Superseded) event() {}
 func (Ending) event()     {}
 func (Tick) event()       {}
@@ -118,7 +124,10 @@
 	Prepare struct{ Alone bool }
 	// Ask sends Take to the owner.
 	Ask struct{}
-	// Own: this process owns from now on, under a generation that is kept first, and can be met.
+	// Claim keeps a generation as this process's unless one as high is kept, in one step; answered by Claimed. Guards
+	// against two that pass over the same silent owner: both would own under one generation.
+	Claim struct{ Generation uint64 }
+	// Own: this process owns from now on, and can be met.
 	Own struct{ Generation uint64 }
 	// Accept has it take new connections, or leave them.
 	Accept struct{ On bool }
@@ -148,6 +157,7 @@
 func (Listen) action()  {}
 func (Prepare) action() {}
 func (Ask) action()     {}
+func (Claim) action()   {}
 func (Own) action()     {}
 func (Accept) action()  {}
 func (Say) action()     {}
@@ -171,6 +181,7 @@
 	locked     bool // this process holds the lock
 	prepared   bool // Ready was told
 	forced     bool // nobody passes the listener on
+	given      bool // the owner before has passed the listener on, and waits to hear that this one serves
 	serves     bool // the successor has said so
 	ending     bool
 	other      int // the successor
@@ -215,10 +226,11 @@
 		m.ready()
 	case Given:
 		if m.phase == Taking {
-			m.locked = true
+			m.locked, m.given = true, true
 			m.own()
-			m.do(Say{})
 		}
+	case Claimed:
+		m.claimed(e)
 	case Revoked:
 		m.met = false
 		if m.phase >= Owning {
@@ -319,19 +331,35 @@
 	}
 	if m.forced {
 		m.own()
-		if !m.met {
-			m.do(Alone{})
-		}
 		return
 	}
 	m.to(Taking)
 	m.do(Ask{}, Wake{m.set.Patience})
 }
 
-func (m *Machine) own() {
+func (m *Machine) own() { m.do(Claim{m.generation + 1}) }
+
+func (m *Machine) claimed(e Claimed) {
+	switch {
+	case !e.OK && m.phase >= Owning: // another one owns since this one gave
+		m.generation = max(m.generation, e.Generation)
+		m.stop("another process owns the address")
+		return
+	case !e.OK: // others were first to pass over the owner before
+		m.generation = max(m.generation, e.Generation)
+		m.sought, m.given = m.now, false
+		m.again()
+		return
+	}
 	m.to(Owning)
-	m.generation++
+	m.generation = e.Generation
 	m.do(Own{m.generation}, Accept{true})
+	if m.given {
+		m.given = false
+		m.do(Say{})
+	} else if !m.met {
+		m.do(Alone{})
+	}
 	if !m.locked {
 		m.do(Wake{m.set.Patience})
 	}
@@ -372,12 +400,8 @@
 	case Offered:
 		m.to(Owning)
 	case Granted:
-		// Its generation may be kept by now: the next one is above it.
-		m.generation++
+		m.generation++ // the successor's may be kept by now
 		m.own()
-		if !m.met {
-			m.do(Alone{})
-		}
 	}
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -214,10 +214,16 @@
 		closeOnce(h.told)
 	case decide.Ask:
 		h.say(h.owner, message{Kind: "take"})
-	case decide.Own:
-		if err := h.record.own(a.Generation); err != nil {
-			h.opt.Log.Error("handover").Err(err).Msg("the owner is not kept: what operators tell may be lost with this process")
+	case decide.Claim:
+		kept, err := h.record.claim(a.Generation)
+		switch {
+		case errors.Is(err, errFenced), errors.Is(err, errHeld):
+			return decide.Claimed{Generation: kept}
+		case err != nil: // a full disk keeps nobody from serving
+			h.opt.Log.Error("handover").Err(err).Msg("the owner can't be kept: what operators tell is lost with this process")
 		}
+		return decide.Claimed{OK: true, Generation: a.Generation}
+	case decide.Own:
 		if err := h.publish(); err != nil {
 			h.opt.Log.Error("handover").Err(err).Msg("no other process can take over from this one")
 		}
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -7,6 +7,9 @@
 	"os"
 	"slices"
 	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
 
 	"ravenwheel/internal/decide/serverlist"
 	"ravenwheel/policy"
@@ -15,6 +18,9 @@
 // errFenced says that another process owns by now: what this one would keep would undo what that one kept.
 var errFenced = errors.New("another process owns the address")
 
+// errHeld says that another process has been about to keep something for too long.
+var errHeld = errors.New("another process is keeping what it was told")
+
 // mostOut bounds what is taken out by hand, and what a record may say.
 const mostOut, mostRecord = 1024, 64 << 10
 
@@ -88,13 +94,43 @@
 	return list
 }
 
-// own keeps what is known under this process's generation.
-func (r *record) own(generation uint64) error {
+// claim keeps what is known under a generation, unless one as high is kept; it returns the one that is.
+func (r *record) claim(generation uint64) (kept uint64, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	done, err := r.alone()
+	if err != nil {
+		return 0, err
+	}
+	defer done()
+	if now, rerr := r.read(); rerr == nil && now.Generation >= generation {
+		return now.Generation, errFenced
+	}
 	next := r.kept
 	next.Generation = generation
-	return r.write(next)
+	return generation, r.replaceFile(next)
+}
+
+const (
+	claimTries = 20
+	claimPause = 5 * time.Millisecond
+)
+
+// alone has one process at a time read and replace the record. Guards against an owner that is stopped between the two,
+// and would replace on waking what its successor kept: whoever comes meanwhile is told that it can't be done now.
+func (r *record) alone() (done func(), err error) {
+	f, err := os.OpenFile(r.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	for range claimTries {
+		if err = unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err == nil {
+			return func() { f.Close() }, nil
+		}
+		time.Sleep(claimPause)
+	}
+	f.Close()
+	return nil, errHeld
 }
 
 // put keeps that a server is out, or no longer.
@@ -134,14 +170,23 @@
 
 // write replaces the record. Guards against an owner that was stopped and wakes up late: it finds a higher generation.
 func (r *record) write(next kept) error {
+	done, err := r.alone()
+	if err != nil {
+		return err
+	}
+	defer done()
 	if now, err := r.read(); err == nil && now.Generation > next.Generation {
 		return errFenced
 	}
+	return r.replaceFile(next)
+}
+
+func (r *record) replaceFile(next kept) error {
 	text, err := json.Marshal(next)
 	if err != nil {
 		return err
 	}
-	part := fmt.Sprintf("%s.%d", r.path, os.Getpid())
+	part := r.path + ".part" // written by one process at a time
 	if err = os.WriteFile(part, text, 0o600); err == nil {
 		err = os.Rename(part, r.path)
 	}
