--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -122,7 +122,9 @@
 		s.roster.Tell(membership.Drain{ID: policy.CacheID(id), On: true})
 	}
 	if hand != nil {
-		hand.Follow(func(id policy.CacheID, out bool) { _ = s.drained(id, out) }) // kept by the hand-over, as well as by the keeper
+		hand.Follow(
+			func(id policy.CacheID, out bool) { _ = s.drained(id, out) }, // kept by the hand-over, as well as by the keeper
+			func(id policy.CacheID, at float64) { s.roster.Tell(membership.Back{ID: id, At: at}) })
 	}
 	if boardAt >= 0 {
 		notice := func(n board.Notice) { n.Tell(boardAt, s.roster.Tell, purged) }
--- /dev/null
+++ b/internal/decide/drain/drain_test.go
@@ -0,0 +1,77 @@
+package drain
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var set = Settings{FrontAfter: 350, RefuseAfter: 1600}
+
+// What whoever asks is told, and what connections get, over a day of calls.
+func TestLife(t *testing.T) {
+	var s State
+	rest := Conn{}
+	step := func(now float64, e Event, ok, takes bool, phase Phase) Plan {
+		t.Helper()
+		require.Equal(t, ok, s.Handle(now, e))
+		require.Equal(t, takes, s.Takes())
+		require.Equal(t, phase, s.Phase())
+		return s.Plan(set, s.Phase() == Yielding)
+	}
+	require.False(t, s.Takes(), "nobody is served before the address is owned")
+	require.Equal(t, Plan{}, step(0, Own, true, true, Serving))
+	p := step(1000, Pause, true, false, Draining)
+	require.False(t, p.Ends(1349, rest), "the front still sends new connections: it would come back at once")
+	require.True(t, p.Ends(1350, rest))
+	require.True(t, p.Hears(2599))
+	require.False(t, p.Hears(2600), "so that a connection never at rest comes to rest")
+	require.Equal(t, p, step(1500, Pause, true, false, Draining), "twice is once, and the time goes on")
+	require.Equal(t, Plan{}, step(9000, Resume, true, true, Serving))
+	step(9100, Resume, true, true, Serving)
+	p = step(10_000, Yield, true, true, Yielding)
+	require.True(t, p.Ends(10_000, rest), "new connections reach the other process at once")
+	step(10_100, Pause, false, true, Yielding)
+	step(10_200, Own, true, true, Serving)
+	step(11_000, Pause, true, false, Draining)
+	step(12_000, Yield, true, true, Yielding)
+	step(12_100, Stop, true, false, Stopping)
+	require.InDelta(t, 12_000, s.Plan(set, true).CloseFrom, 0, "a stop goes on where the other process took over")
+	require.Equal(t, Plan{}, s.Plan(set, false))
+	for _, e := range []Event{Own, Yield, Pause, Resume, Stop} {
+		require.Equal(t, e != Pause && e != Resume, s.Handle(13_000, e))
+		require.Equal(t, Stopping, s.Phase(), "nothing brings one back that ends")
+	}
+}
+
+// One that was paused before it owns its address is drained from then on.
+func TestPausedEarly(t *testing.T) {
+	var s State
+	require.True(t, s.Handle(0, Pause))
+	require.True(t, s.Handle(5, Own))
+	require.Equal(t, Draining, s.Phase())
+	require.False(t, s.Takes())
+}
+
+// No connection that is owed something, or of which something has come, ends; and two seconds after a pause none is left
+// that came to rest once.
+func TestEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var s State
+		s.Handle(0, Own)
+		s.Handle(0, Pause)
+		p := s.Plan(set, false)
+		now := rapid.Float64Range(0, 4000).Draw(t, "now")
+		c := Conn{
+			Open: rapid.IntRange(0, 2).Draw(t, "open"), Half: rapid.Bool().Draw(t, "half"),
+			Unread: rapid.Bool().Draw(t, "unread"), New: rapid.Bool().Draw(t, "new"),
+		}
+		ends := p.Ends(now, c)
+		require.False(t, ends && (c.Open > 0 || c.Unread || c.New))
+		if now >= 2000 && c.Open == 0 && !c.Unread && !c.New {
+			require.True(t, ends)
+			require.False(t, p.Hears(now))
+		}
+	})
+}
--- a/internal/decide/membership/ledger.go
+++ b/internal/decide/membership/ledger.go
@@ -76,7 +76,7 @@
 	WeightStep, WeightEvery float64
 }
 
-// Event is what the ledger is told: List, Changes, Heard or Tick.
+// Event is what the ledger is told: List, Changes, Heard, Drain, Back or Tick.
 type Event interface{ event() }
 
 // List is the whole list of a source. Its generation must be above those before it.
@@ -108,6 +108,12 @@
 	On bool
 }
 
+// Back tells that a server was given back by hand before this ledger was made, and when, in ms.
+type Back struct {
+	ID policy.CacheID
+	At float64
+}
+
 // Tick tells that a wake that was asked for is due.
 type Tick struct{}
 
@@ -115,6 +121,7 @@
 func (Changes) event() {}
 func (Heard) event()   {}
 func (Drain) event()   {}
+func (Back) event()    {}
 func (Tick) event()    {}
 
 // Action is what the ledger wants done: Publish, Wake, Moved, Rejected or Silence. Actions come in order.
@@ -216,6 +223,7 @@
 	// was is who was in use before a restart, and restored that this is known.
 	was      map[policy.CacheID]Member
 	hand     map[policy.CacheID]float64 // drained by hand, since when
+	back     map[policy.CacheID]float64 // given back by hand, when: cold from then on
 	restored bool
 
 	out     []Action
@@ -235,7 +243,7 @@
 	}
 	l := &Ledger{
 		set: s, records: map[policy.CacheID]*record{}, at: map[string]map[policy.CacheID]struct{}{},
-		hand:  map[policy.CacheID]float64{},
+		hand: map[policy.CacheID]float64{}, back: map[policy.CacheID]float64{},
 		queue: map[string]map[policy.CacheID]struct{}{}, touched: map[policy.CacheID]struct{}{},
 	}
 	for _, x := range s.Sources {
@@ -296,6 +304,11 @@
 		l.hear(e.Source)
 	case Drain:
 		l.byHand(e)
+	case Back:
+		l.back[e.ID] = min(e.At, l.now)
+		if l.records[e.ID] != nil {
+			l.touched[e.ID] = struct{}{}
+		}
 	}
 	l.expire()
 	l.settle()
@@ -359,7 +372,11 @@
 	// Given back after a drain: most likely restarted meanwhile, as one that its list drained is, unless the list tells
 	// of the start.
 	if at, _, _ := r.word(); !e.On && at >= 0 && float64(r.claims[at].said.Started)/1e6 < since && !r.claims[at].Warm {
-		r.claims[at].guessed = true
+		if l.sources[at].Direct {
+			l.back[e.ID] = l.now
+		} else {
+			r.claims[at].guessed = true
+		}
 	}
 	l.touched[e.ID] = struct{}{}
 }
@@ -408,9 +425,7 @@
 	// A list by hand does not know when a server was started. One that it names anew is taken for cold, or the
 	// full share of its objects would push it over; in the first list all run already. One that comes back from
 	// a drain is the process that drained, unless the list says when it was started.
-	if s := l.sources[at]; s.Direct && old != nil && old.guessed && e.Started == old.said.Started {
-		c.Started, c.guessed = old.Started, true // given back by hand; the board knows of no start since
-	} else if !s.Direct && e.Started == 0 {
+	if s := l.sources[at]; !s.Direct && e.Started == 0 {
 		switch {
 		case old != nil && old.State == policy.Draining && e.State == policy.Ready && !e.Warm:
 			c.guessed = true // drained by the list, as is done for a restart
@@ -526,6 +541,9 @@
 				return
 			}
 		}
+		if back := l.back[r.id]; r.direct && float64(c.said.Started)/1e6 < back {
+			c.Started = policy.Time(back * 1e6) // given back by hand, and its source knows of no start since
+		}
 		if c.guessed && (r.phase != Ready || r.facts.Addr != c.Addr) {
 			c.Started = policy.Time(l.now * 1e6)
 		}
@@ -693,6 +711,7 @@
 		case r.phase == Gone && at < 0 && r.until <= l.now:
 			l.do(Moved{Member: r.facts, From: Gone, To: None, Why: "forgotten"})
 			delete(l.records, r.id)
+			delete(l.back, r.id)
 		case at < 0 || r.step > 0 && r.step <= l.now || r.phase == Joining:
 			l.touched[r.id] = struct{}{}
 		}
--- a/internal/decide/membership/text_test.go
+++ b/internal/decide/membership/text_test.go
@@ -19,7 +19,7 @@
 
 // TestText plays testdata/*.txt. A block is a command, a line of dashes, and what the ledger does; a blank line ends
 // it, and "new" starts over. Commands are "MS SOURCE GENERATION SERVER..." with SERVER as ID@ADDR[:state][*weight]
-// [+startedMs][!] (! is warm), "MS SOURCE heard" and "MS tick". The board's lists are changes.
+// [+startedMs][!] (! is warm), "MS SOURCE heard" "MS hand out|in|was ID" (was: given back, before a restart) and "MS tick". The board's lists are changes.
 func TestText(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	require.NoError(t, err)
@@ -64,7 +64,13 @@
 	now, err := strconv.ParseFloat(words[0], 64)
 	require.NoError(t, err)
 	var e membership.Event = membership.Tick{}
-	if words[1] != "tick" {
+	if words[1] == "hand" {
+		id, err := strconv.Atoi(words[3])
+		require.NoError(t, err)
+		if e = (membership.Drain{ID: policy.CacheID(id), On: words[2] == "out"}); words[2] == "was" {
+			e = membership.Back{ID: policy.CacheID(id), At: now - 500}
+		}
+	} else if words[1] != "tick" {
 		at := map[string]int{"file": 0, "board": 1}[words[1]]
 		if words[2] == "heard" {
 			e = membership.Heard{Source: at}
--- /dev/null
+++ b/internal/front/resp/empty_test.go
@@ -0,0 +1,124 @@
+package resp_test
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/decide/drain"
+	"ravenwheel/internal/front/resp"
+	frames "ravenwheel/internal/resp"
+	"ravenwheel/internal/scenario"
+)
+
+func emptied(t *testing.T, names ...string) (*scenario.Proxy, *resp.Front, map[string]scenario.Actor) {
+	p := scenario.NewProxy(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := resp.New(ln, 20, p.Clock, p.Core)
+	go func() { _ = f.Serve() }()
+	t.Cleanup(func() { _ = f.Close() })
+	actors := map[string]scenario.Actor{"s": p.Cache}
+	for _, n := range names {
+		actors[n] = scenario.Dial(t, ln.Addr().String())
+	}
+	return p, f, actors
+}
+
+// An emptied proxy says no, ends what is at rest once the front has stopped to send new clients, and answers what it owes;
+// a request that comes later than the plan hears is refused at once, so that its connection comes to rest.
+func TestEmpty(t *testing.T) {
+	p, f, actors := emptied(t, "rests", "waits", "busy", "half")
+	scenario.Run(t, p.Clock, actors, `
+		rests send RPC.HEALTH 1
+		rests expect 1 yes
+		waits send `+strings.Replace(asset, "900", "2500", 1)+`
+		s expect fetch 00000000000000a1 * -
+		busy send RPC.CALL 1 replay rid=00000000000000b1,budget=5000,obj=7f3a9c21e0b4d656,nth=0,batch=17
+		s expect fetch 00000000000000b1 * -
+		half send RPC.HEALTH 1
+		half expect 1 yes
+		half send half *2`)
+	now := p.Clock.Now()
+	f.Takes(false)
+	f.Empty(drain.Plan{On: true, CloseFrom: now + 300, RefuseFrom: now + 700})
+	scenario.Run(t, p.Clock, actors, `
+		rests send RPC.HEALTH 2
+		rests expect 2 no
+		wait 290
+		rests send RPC.HEALTH 3
+		rests expect 3 no
+		rests await closed
+		waits send RPC.HEALTH 4
+		waits expect 4 no
+		s send 00000000000000a1 served why=local,version=v1 BYTES
+		waits expect 1 ok - BYTES
+		waits await closed
+		wait 700
+		busy send RPC.CALL 2 asset rid=00000000000000b2,budget=900,obj=7f3a9c21e0b4d657,nth=0,batch=17
+		busy expect 2 full backoff=500
+		s send 00000000000000b1 served why=local,version=v1 BYTES
+		busy expect 1 ok - BYTES
+		busy await closed
+		half await closed`)
+	require.EqualValues(t, 1, p.Core.Counters.Unsent.Load())
+	f.Empty(drain.Plan{})
+	f.Takes(true)
+	ends := p.Clock.Now() + 5000
+	for f.Held() > 0 && p.Clock.Now() < ends { // those that were told to end have ended
+		p.Clock.Advance(10)
+		time.Sleep(time.Millisecond)
+	}
+	require.Zero(t, f.Held())
+}
+
+// What a slow reader has not taken yet is not lost by the close: the connection ends after it.
+func TestEmptySlowReader(t *testing.T) {
+	p, f, actors := emptied(t)
+	nc, err := net.Dial("tcp", f.Addr())
+	require.NoError(t, err)
+	defer nc.Close()
+	body := strings.Repeat("x", 200_000)
+	_, err = nc.Write(frames.Append(nil, strings.Fields(strings.Replace(asset, "900", "2000", 1))...))
+	require.NoError(t, err)
+	scenario.Run(t, p.Clock, actors, `
+		s expect fetch 00000000000000a1 * -
+		s send $id served why=local,version=v1 `+body)
+	require.Eventually(t, f.Idle, time.Minute, time.Millisecond, "written, as far as this side knows")
+	f.Empty(drain.Plan{On: true})
+	p.Clock.Advance(20)
+	_, _ = nc.Write(frames.Append(nil, "RPC.HEALTH", "3")) // crosses the close
+	total := 0
+	buf := make([]byte, 8192)
+	for {
+		n, err := nc.Read(buf)
+		if total += n; err != nil {
+			break
+		}
+		time.Sleep(100 * time.Microsecond)
+	}
+	require.Greater(t, total, len(body))
+}
+
+// A front that leaves new connections to another process keeps those it has, and takes new ones again when told.
+func TestAccepting(t *testing.T) {
+	p, f, actors := emptied(t, "held")
+	held := `
+		held send RPC.HEALTH 1
+		held expect 1 yes`
+	scenario.Run(t, p.Clock, actors, held)
+	f.Accepting(false)
+	f.Accepting(false)
+	actors["queued"] = scenario.Dial(t, f.Addr())
+	scenario.Run(t, p.Clock, actors, `
+		queued send RPC.HEALTH 1`+held)
+	require.Equal(t, 1, f.Held())
+	f.Accepting(true)
+	scenario.Run(t, p.Clock, actors, `
+		queued expect 1 yes`)
+	f.Accepting(false)
+	require.NoError(t, f.Close(), "also one that does not accept ends")
+}
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -48,7 +48,7 @@
 	// emptyEvery: so often it is looked, while the proxy is emptied, which connections are at rest, in ms. lingerFor: a
 	// client that was told that its connection ends, and does not end it, has that long.
 	emptyEvery = 10
-	lingerFor  = time.Second
+	lingerFor  = 1000
 	// newFor: one that is silent for so many ms is no client on the point of asking.
 	newFor = 100
 	// writeWait: a client that takes nothing for so long has given up all that it waited for.
@@ -97,6 +97,9 @@
 // SetMost changes how many connections are held. Those that are open stay.
 func (f *Front) SetMost(n int) { f.most.Store(int64(n)) }
 
+// Addr is where it listens.
+func (f *Front) Addr() string { return f.ln.Addr().String() }
+
 // Held is how many connections are open.
 func (f *Front) Held() int {
 	f.mu.Lock()
@@ -355,7 +358,7 @@
 // away what a slow reader has not taken yet.
 func (g *guard) finish() {
 	if tcp, ok := g.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		time.AfterFunc(lingerFor, func() { g.Close() })
+		g.front.clock.After(lingerFor, func() { g.Close() })
 		return
 	}
 	g.Close()
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -53,13 +53,14 @@
 
 // message is what two processes say to each other. Which fields count is the kind's.
 type message struct {
-	Kind       string   `json:"kind"`
-	Revision   int      `json:"revision,omitempty"`
-	Generation uint64   `json:"generation,omitempty"`
-	Out        []string `json:"out,omitempty"`
-	ID         string   `json:"id,omitempty"`
-	On         bool     `json:"on,omitempty"`
-	Busy       bool     `json:"busy,omitempty"`
+	Kind       string             `json:"kind"`
+	Revision   int                `json:"revision,omitempty"`
+	Generation uint64             `json:"generation,omitempty"`
+	Out        []string           `json:"out,omitempty"`
+	Back       map[string]float64 `json:"back,omitempty"`
+	ID         string             `json:"id,omitempty"`
+	On         bool               `json:"on,omitempty"`
+	Busy       bool               `json:"busy,omitempty"`
 }
 
 // Hand is a process's part in passing its address on.
@@ -107,14 +108,18 @@
 	}
 }
 
-// Follow hands on which servers are out by hand, and from then on what operators tell the other process.
-func (h *Hand) Follow(out func(id policy.CacheID, out bool)) {
+// Follow hands on which servers are out by hand and which were given back lately, and when; from then on what operators
+// tell the other process.
+func (h *Hand) Follow(out func(id policy.CacheID, out bool), back func(id policy.CacheID, at float64)) {
 	h.orders.Lock()
 	defer h.orders.Unlock()
 	h.out = out
 	for _, id := range h.record.out() {
 		out(id, true)
 	}
+	for id, at := range h.record.back() {
+		back(id, at)
+	}
 }
 
 // Ready tells that this process could serve, and waits until it owns the address. The listener is its own from then on.
@@ -133,7 +138,7 @@
 func (h *Hand) Take(id policy.CacheID, out bool) error {
 	h.orders.Lock()
 	defer h.orders.Unlock()
-	err := h.record.put(id, out)
+	err := h.record.put(id, out, h.opt.Clock.Now())
 	if errors.Is(err, errFenced) {
 		h.record.note(id, out)
 		err = nil // the owner keeps it, as it is told below
@@ -236,7 +241,7 @@
 		h.say(h.owner, message{Kind: "serves"})
 	case decide.Offer:
 		h.opt.Shares(true)
-		h.say(h.peers[a.To], message{Kind: "state", Revision: decide.Revision, Generation: h.machine.Generation(), Out: names(h.record.out())})
+		h.say(h.peers[a.To], message{Kind: "state", Revision: decide.Revision, Generation: h.machine.Generation(), Out: names(h.record.out()), Back: h.record.backNames()})
 	case decide.Turn:
 		h.say(h.peers[a.To], message{Kind: "turn", Busy: a.Busy})
 	case decide.Grant:
@@ -432,7 +437,7 @@
 	}
 	h.orders.Lock()
 	defer h.orders.Unlock()
-	if err := h.record.put(id, m.On); err != nil {
+	if err := h.record.put(id, m.On, h.opt.Clock.Now()); err != nil {
 		h.record.note(id, m.On)
 	}
 	if h.out != nil {
@@ -479,13 +484,13 @@
 		}
 		switch m.Kind {
 		case "state":
-			_, err := ids(m.Out)
+			err := kept{Out: m.Out, Back: m.Back}.check()
 			if err != nil {
 				h.opt.Log.Warn("handover").Err(err).Msg("what the owner tells can't be used")
 				m.Revision = -1
 			}
 			if err == nil {
-				h.record.replace(m.Out)
+				h.record.replace(m.Out, m.Back)
 			}
 			h.tell(decide.Told{Revision: m.Revision, Generation: m.Generation})
 		case "turn":
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -19,10 +19,11 @@
 // process is one of several in a test, as far as its part in a hand-over goes.
 type process struct {
 	*Hand
-	ln  net.Listener
-	mu  sync.Mutex
-	out map[policy.CacheID]bool
-	got struct{ accepts, owns, shares, stopped bool }
+	ln   net.Listener
+	mu   sync.Mutex
+	out  map[policy.CacheID]bool
+	back map[policy.CacheID]float64
+	got  struct{ accepts, owns, shares, stopped bool }
 }
 
 func (p *process) phase() decide.Phase {
@@ -47,7 +48,7 @@
 
 // start returns a process that knows what was told.
 func (w *world) start() *process {
-	p := &process{out: map[policy.CacheID]bool{}}
+	p := &process{out: map[policy.CacheID]bool{}, back: map[policy.CacheID]float64{}}
 	set := func(b *bool) func(bool) {
 		return func(on bool) { p.mu.Lock(); *b = on; p.mu.Unlock() }
 	}
@@ -57,7 +58,8 @@
 	})
 	require.NoError(w.t, err)
 	p.Hand = h
-	h.Follow(func(id policy.CacheID, out bool) { p.mu.Lock(); p.out[id] = out; p.mu.Unlock() })
+	h.Follow(func(id policy.CacheID, out bool) { p.mu.Lock(); p.out[id] = out; p.mu.Unlock() },
+		func(id policy.CacheID, at float64) { p.back[id] = at })
 	w.t.Cleanup(h.Close)
 	return p
 }
@@ -94,6 +96,7 @@
 	for n := range 5 {
 		next := w.start()
 		require.True(t, next.out[7])
+		require.Equal(t, n > 0, next.back[8] > 0, "given back lately: cold for the next one too")
 		w.own(next)
 		w.becomes(old, "it leaves the clients", func() bool { return !old.got.accepts && !old.got.owns })
 		require.NoError(t, old.Take(policy.CacheID(100+n), true), "told to the old one")
@@ -104,6 +107,8 @@
 		old.Close()
 		require.NoError(t, old.ln.Close())
 		w.becomes(next, "alone", func() bool { return !next.got.shares })
+		require.NoError(t, next.Take(8, true))
+		require.NoError(t, next.Take(8, false))
 		require.NoError(t, next.Take(7, true))
 		require.EqualValues(t, n+2, next.generation(), "an end is not taken for the successor's: nothing was taken back")
 		old = next
@@ -112,6 +117,10 @@
 	require.NoError(t, err)
 	require.Equal(t, waits.LocalAddr().String(), nc.RemoteAddr().String())
 	require.Len(t, old.record.out(), 6)
+	w.clk.Advance(backFor)
+	require.NoError(t, old.Take(9, true))
+	require.NoError(t, old.Take(9, false))
+	require.Len(t, old.record.back(), 1, "what is long warm is told no more")
 }
 
 // Successors that die: before they ask to own nothing has happened; after, the owner goes on with what it still holds.
@@ -149,7 +158,7 @@
 	}, time.Minute, time.Millisecond)
 	w.own(next)
 	require.NoError(t, next.Take(5, true))
-	require.ErrorIs(t, old.record.put(6, true), errFenced)
+	require.ErrorIs(t, old.record.put(6, true, 0), errFenced)
 	w.becomes(old, "steps back", func() bool { return old.got.stopped && !old.got.accepts })
 	require.Equal(t, []policy.CacheID{5}, next.record.out())
 	old.Close()
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"sync"
@@ -36,6 +37,20 @@
 type kept struct {
 	Generation uint64   `json:"generation"`
 	Out        []string `json:"out"`
+	// Back are servers that were given back lately, and when in Unix ms: cold from then on.
+	Back map[string]float64 `json:"back,omitempty"`
+}
+
+// backFor: ms after which a server that was given back is no longer told of; it is warm long before.
+const backFor = 600_000
+
+// check holds what a file or a process tells to its form.
+func (k kept) check() error {
+	if _, err := ids(k.Out); err != nil {
+		return err
+	}
+	_, err := ids(slices.Collect(maps.Keys(k.Back)))
+	return err
 }
 
 // load reads the record. One that can't be used counts as none: it is not worth a start.
@@ -63,7 +78,7 @@
 		}
 	}
 	if err == nil {
-		_, err = ids(k.Out)
+		err = k.check()
 	}
 	if err != nil {
 		return kept{}, err
@@ -133,15 +148,43 @@
 	return nil, errHeld
 }
 
-// put keeps that a server is out, or no longer.
-func (r *record) put(id policy.CacheID, out bool) error {
+// back are the servers that were given back lately.
+func (r *record) back() map[policy.CacheID]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := map[policy.CacheID]float64{}
+	for name, at := range r.kept.Back {
+		if id, ok := serverlist.ID(name); ok {
+			list[id] = at
+		}
+	}
+	return list
+}
+
+func (r *record) backNames() map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.kept.Back)
+}
+
+// put keeps that a server is out, or no longer, from now on.
+func (r *record) put(id policy.CacheID, out bool, now float64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	name := serverlist.Name(id)
 	if slices.Contains(r.kept.Out, name) == out {
 		return nil
 	}
-	next := kept{r.kept.Generation, slices.DeleteFunc(slices.Clone(r.kept.Out), func(n string) bool { return n == name })}
+	next := kept{Generation: r.kept.Generation, Back: map[string]float64{}}
+	next.Out = slices.DeleteFunc(slices.Clone(r.kept.Out), func(n string) bool { return n == name })
+	for n, at := range r.kept.Back {
+		if n != name && now-at < backFor {
+			next.Back[n] = at
+		}
+	}
+	if !out && len(next.Back) < mostOut {
+		next.Back[name] = now
+	}
 	if out {
 		if next.Out = append(next.Out, name); len(next.Out) > mostOut {
 			return fmt.Errorf("no more than %d servers can be out by hand", mostOut)
@@ -162,10 +205,10 @@
 }
 
 // replace takes in all that the owner has kept.
-func (r *record) replace(out []string) {
+func (r *record) replace(out []string, back map[string]float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.kept.Out = slices.Clone(out)
+	r.kept.Out, r.kept.Back = slices.Clone(out), maps.Clone(back)
 }
 
 // write replaces the record. Guards against an owner that was stopped and wakes up late: it finds a higher generation.
