--- /dev/null
+++ b/cmd/ravenwheel/page_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/scenario"
+)
+
+// script makes of a page's examples, the blocks of sh, a script: a line behind "$ " is run, and the lines below it are what
+// it prints. What an example defines holds for those after it.
+func script(page string) string {
+	var run, files strings.Builder
+	define, n := "", 0
+	for i, block := range strings.Split(page, "```") {
+		if i%2 == 0 || !strings.HasPrefix(block, "sh\n") {
+			continue
+		}
+		for _, part := range strings.Split(block, "\n$ ")[1:] {
+			command, want, _ := strings.Cut(part, "\n")
+			if strings.HasPrefix(command, "say() {") {
+				define = command + "; "
+				continue
+			}
+			command, behind := strings.CutSuffix(command, " &")
+			fmt.Fprintf(&run, "exec bash -c '%s%s'", define, strings.ReplaceAll(command, "'", "''"))
+			if behind {
+				run.WriteString(" &\n")
+				continue
+			}
+			n++
+			fmt.Fprintf(&run, "\ncmp stdout want%d\n", n)
+			fmt.Fprintf(&files, "-- want%d --\n%s\n", n, strings.TrimSuffix(want, "\n"))
+		}
+	}
+	return run.String() + files.String()
+}
+
+// The operators' page on what is done by hand is run as it stands.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/hand.md")
+	require.NoError(t, err)
+	bin, listen, dir := build(t), freeAddr(t), t.TempDir()
+	config := configFile(t, listen, "127.0.0.1:1", scenario.Listen(t).Addr())
+	first := startBeside(t, bin, config, dir)
+	first.ready(t)
+	next := freeAddr(t)
+	scripts := t.TempDir()
+	text := script(string(page))
+	require.Equal(t, 13, strings.Count(text, "exec bash"), "the examples that the page has")
+	require.NoError(t, os.WriteFile(filepath.Join(scripts, "hand.txt"), []byte(text), 0o600))
+	testscript.Run(t, testscript.Params{Dir: scripts, Setup: func(e *testscript.Env) error {
+		path := filepath.Dir(bin) + string(os.PathListSeparator) + os.Getenv("PATH")
+		e.Vars = append(e.Vars, "PATH="+path, "LB_CONFIG="+config, "LB_CONSOLE="+first.console, "NEXT="+next, "TMPDIR="+dir)
+		return nil
+	}})
+}
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -128,7 +128,7 @@
 		return err
 	}
 	defer place.close()
-	src, err := startSources(operator, conf, clk, log, c, st, heard, talk, place.hand)
+	src, err := startSources(operator, conf, clk, log, c, st, heard, talk, place)
 	if err != nil {
 		return err
 	}
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -15,7 +15,6 @@
 	"ravenwheel/internal/decide/recovery"
 	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/decide/serverlist"
-	"ravenwheel/internal/handover"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/peers"
 	"ravenwheel/internal/roster"
@@ -56,10 +55,10 @@
 }
 
 // startSources takes in what is known at the start, and follows what comes later: heard brings the facts of the store,
-// from before it opened (nil: none is shared). talk is this process among its peers (nil: alone), hand what the process
-// before it has passed on (nil: nothing).
+// from before it opened (nil: none is shared). talk is this process among its peers (nil: alone), at what the process
+// before it has passed on, and what operators empty (nil: neither).
 func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, st *store.Store,
-	heard chan replica.Change, talk *peers.Peers, hand *handover.Hand) (*sources, error) {
+	heard chan replica.Change, talk *peers.Peers, at *place) (*sources, error) {
 	s := &sources{store: st, core: c, clk: clk, names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
 	s.facts = conf.Facts(0)
 	set := membership.Settings{}
@@ -121,8 +120,8 @@
 	for _, id := range plan.Hand {
 		s.roster.Tell(membership.Drain{ID: policy.CacheID(id), On: true})
 	}
-	if hand != nil {
-		hand.Follow(
+	if at != nil && at.hand != nil {
+		at.hand.Follow(
 			func(id policy.CacheID, out bool) { _ = s.drained(id, out) }, // kept by the hand-over, as well as by the keeper
 			func(id policy.CacheID, at float64) { s.roster.Tell(membership.Back{ID: id, At: at}) })
 	}
@@ -144,6 +143,9 @@
 	}
 	if o.Admin != nil {
 		a := admin.Options{Listen: o.Admin.Listen, Clock: clk, Log: log, Names: conf.Names, Core: c, Views: s.roster.Views, State: s.state, Store: st, Shared: s, Peers: talk}
+		if at != nil {
+			a.Desk = at.desk
+		}
 		if s.list != nil {
 			a.List = s.list.Status
 		}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -70,6 +70,14 @@
 	Store  *store.Store        // nil: none is set up
 	Peers  *peers.Peers        // nil: this process is alone
 	Shared Shared
+	Desk   Desk // nil: this proxy is not one to be emptied by hand
+}
+
+// Desk is the proxy as a whole in operators' hands.
+type Desk interface {
+	Status() (text string, ready bool)
+	Pause(on bool) error
+	Out(id policy.CacheID, out bool) error
 }
 
 // Shared is what is done for all members of a store, or for this proxy where there is none. Each returns once it is kept.
@@ -121,6 +129,10 @@
 	mux.HandleFunc("GET /v1/state", a.state)
 	mux.HandleFunc("POST /v1/drain", a.drain)
 	mux.HandleFunc("POST /v1/list", a.push)
+	if o.Desk != nil {
+		mux.HandleFunc("GET /v1/status", a.status)
+		mux.HandleFunc("POST /v1/pause", a.pause)
+	}
 	if o.Peers != nil {
 		mux.HandleFunc("GET /v1/peers", func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Query().Get("members") == "no" { // hundreds that are asked for hundreds are a load of their own
@@ -234,6 +246,36 @@
 	reply(w, map[string]float64{"purged_ms": q.At})
 }
 
+// Status is whether the proxy takes work, and what it does.
+type Status struct {
+	Ready bool   `json:"ready"`
+	Phase string `json:"phase"`
+}
+
+func (a *Admin) status(w http.ResponseWriter, _ *http.Request) {
+	text, ready := a.opt.Desk.Status()
+	reply(w, Status{Ready: ready, Phase: text})
+}
+
+// Pause empties the proxy, or brings it back to work.
+type Pause struct {
+	On bool `json:"on"`
+}
+
+func (a *Admin) pause(w http.ResponseWriter, r *http.Request) {
+	var p Pause
+	err := json.NewDecoder(io.LimitReader(r.Body, mostSent)).Decode(&p)
+	if err == nil {
+		err = a.opt.Desk.Pause(p.On)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	a.opt.Log.Info("pause").Bool("on", p.On).Msg("emptied by hand, or back to work")
+	a.status(w, r)
+}
+
 // Drain names a server to be drained by hand, or given back.
 type Drain struct {
 	ID string `json:"id"`
@@ -251,7 +293,11 @@
 		http.Error(w, fmt.Sprintf("no server %q", d.ID), http.StatusBadRequest)
 		return
 	}
-	if err := a.opt.Shared.Drain(id, d.On); err != nil {
+	drain := a.opt.Shared.Drain
+	if a.opt.Desk != nil {
+		drain = a.opt.Desk.Out // kept for a process that takes over, too
+	}
+	if err := drain(id, d.On); err != nil {
 		http.Error(w, "not kept: "+err.Error(), http.StatusInsufficientStorage)
 		return
 	}
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -152,10 +152,28 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for g := range f.conns {
-		if !g.left && p.Ends(now, g.facts(now)) && g.leave() {
-			go g.finish()
-		}
+		f.rest(g, now, p)
+	}
+}
+
+// rest ends a connection if the plan says so. Called under the front's lock.
+func (f *Front) rest(g *guard, now float64, p *drain.Plan) {
+	if !g.left && p.Ends(now, g.facts(now)) && g.leave() {
+		go g.finish()
+	}
+}
+
+// answered looks at a connection whose last answer was just written, once requests are refused. Guards against a client
+// that asks again at once, for seconds: it is never found at rest between.
+func (f *Front) answered(c *client) {
+	p, now := f.plan.Load(), f.clock.Now()
+	g, ok := c.nc.(*guard)
+	if !ok || p.Hears(now) {
+		return
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rest(g, now, p)
 }
 
 // sweep ends the connections that have said nothing, or half of a frame, for too long.
@@ -520,6 +538,7 @@
 			}
 			c.mu.Unlock()
 		}
+		c.front.answered(c)
 	}
 }
 
