--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 
 # The process killed a hundred times under traffic; TORTURE_SEED draws other moments.
 torture:
-	TORTURE=100 go test -count=1 -timeout 20m -v -run Torture ./cmd/ravenwheel
+	TORTURE=100 go test -count=1 -timeout 20m -v -run "Torture|Replaced" ./cmd/ravenwheel
 
 # Properties over histories drawn anew, and the fuzzers; not part of CI.
 soak:
