A process that takes over starts from what the one before has learned

At fault: nothing carries the module's judgement (policy/state.go, target) over. Change: what is learned of targets is a type of its own (Judged) that Learned hands out and Inherit takes, for those not started since; core checks it as untrusted, whole or not at all; the hand-over leaves it in a file beside the lock.

--- a/cmd/ravenwheel/place.go
+++ b/cmd/ravenwheel/place.go
@@ -7,6 +7,7 @@
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/console"
+	"ravenwheel/internal/core"
 	"ravenwheel/internal/desk"
 	"ravenwheel/internal/front/resp"
 	"ravenwheel/internal/handover"
@@ -43,10 +44,10 @@
 	return p, nil
 }
 
-// listen returns the clients' listener once it is this process's to use.
-func (p *place) listen(conf *config.Config) (net.Listener, error) {
+// listen returns the clients' listener once it is this process's to use, and the core has what the owner before learned.
+func (p *place) listen(conf *config.Config, c *core.Core) (net.Listener, error) {
 	if p.hand != nil {
-		return p.hand.Ready()
+		return p.hand.Ready(c)
 	}
 	ln, err := net.Listen("tcp", conf.Listen)
 	if err == nil {
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -133,7 +133,7 @@
 		return err
 	}
 	defer src.close()
-	ln, err := place.listen(conf)
+	ln, err := place.listen(conf, c)
 	if err != nil {
 		return err
 	}
--- a/internal/config/alone.go
+++ b/internal/config/alone.go
@@ -41,7 +41,7 @@
 		Siblings:   map[string]policy.Reach{"none": policy.ReachNone, "location": policy.ReachLocation, "any": policy.ReachAny}[s.Siblings],
 		PurgeTakes: ms(s.PurgeTakes), PurgeNotice: ms(s.PurgeGrace), DrainGrace: ms(s.DrainGrace),
 		CacheFall: fall(s.Cold), ParentFall: fall(s.ParentCold), AnswerSlack: ms(s.AnswerSlack), WeightsTold: true,
-		MaxTries: l.Tries, Cancel: true, Probes: true, SecondCopies: s.SecondCopy, RetryAfter: l.Backoff > 0,
+		MaxTries: l.Tries, Cancel: true, RetryAfter: l.Backoff > 0,
 		MaxRetryAfter: ms(l.Backoff), ConnectWithin: ms(l.Connect),
 	}
 	for _, z := range s.Zones {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -84,10 +84,6 @@
 	// Send starts an attempt and calls end exactly once, from any goroutine, unless abort came first. abort tells
 	// whether the attempt was written whole.
 	Send(a Attempt, end func(End)) (abort func() (sent bool))
-	// Probe asks a cache server how it is.
-	Probe(to policy.CacheID, end func(End))
-	// CloseIdle closes the idle connections to a cache server.
-	CloseIdle(to policy.CacheID)
 	// Members tells where cache servers are.
 	Members(list []Member, whole bool)
 }
@@ -421,10 +417,6 @@
 			c.post(x.ID, act)
 		case policy.SetTimer:
 			c.clock.After(clock.Ms(x.After), func() { c.tell(policy.Timer{Token: x.Token}) })
-		case policy.Probe:
-			go c.probe(x.Cache)
-		case policy.CloseIdle:
-			go c.up.CloseIdle(x.Cache)
 		case policy.Log:
 			if c.lines++; c.lines <= mostLines && c.Log != nil {
 				c.Log(x.Text)
@@ -444,10 +436,3 @@
 		invariant.Check(false, "a request's mailbox has room")
 	}
 }
-
-func (c *Core) probe(to policy.CacheID) {
-	sent := c.clock.Now()
-	c.up.Probe(to, func(e End) {
-		c.tell(policy.Probed{Cache: to, Result: e.Result, Latency: clock.Duration(c.clock.Now() - sent), Load: e.Load})
-	})
-}
--- /dev/null
+++ b/internal/core/learned.go
@@ -0,0 +1,96 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/policy"
+)
+
+// learnedRevision is the form of what a process hands to the one that takes its place.
+const learnedRevision = 1
+
+type learned struct {
+	Revision int
+	Classes  []string
+	Learned  policy.Learned
+}
+
+// Learned is what the module has learned: who is down, limits, ramps, budgets, sending times.
+func (c *Core) Learned() ([]byte, error) {
+	c.mu.Lock()
+	l := c.router.Learned()
+	text, err := cbor.Marshal(learned{learnedRevision, c.classes, l}) // under the lock: its slices are the module's
+	c.mu.Unlock()
+	return text, err
+}
+
+// Inherit starts from what another process has learned, whole or not at all. It comes after the first list of servers.
+func (c *Core) Inherit(text []byte) error {
+	var l learned
+	if err := cbor.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("core: what was learned can't be read: %w", err)
+	}
+	if l.Revision != learnedRevision {
+		return fmt.Errorf("core: revision %d of what was learned is not known", l.Revision)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err := usable(l, c.classes, clock.Duration(c.clock.Now())); err != nil {
+		return err
+	}
+	c.router.Inherit(l.Learned)
+	return nil
+}
+
+// skew is how far a server's start may be told ahead of this clock.
+const skew = time.Minute
+
+// mostLearned bounds a limit, a credit and a sending time: what is beyond it no router has learned.
+const mostLearned = 1e6
+
+var errLearned = errors.New("core: what was learned is not of this proxy, or of another time")
+
+// usable holds what another process tells to what a module can have learned by now. Guards against a number that no
+// arithmetic recovers from, and against a time to come, at which a server would be judged anew.
+func usable(l learned, classes []string, now policy.Time) error {
+	if len(l.Classes) != len(classes) || len(l.Learned.MeanSend) != len(classes) || len(l.Learned.MeanTook) != len(classes) {
+		return errLearned
+	}
+	for i, c := range classes {
+		if l.Classes[i] != c {
+			return errLearned
+		}
+	}
+	good := func(least float64, list ...float64) bool {
+		for _, v := range list {
+			if math.IsNaN(v) || v < least || v > mostLearned {
+				return false
+			}
+		}
+		return true
+	}
+	judged := func(j policy.Judged) bool {
+		for _, t := range []policy.Time{j.FailedAt, j.LastAnswer, j.Heard, j.Ramped, j.CreditAt} {
+			if t < 0 || t > now+skew {
+				return false
+			}
+		}
+		shares := good(0, float64(j.FailShare), float64(j.LateShare)) && j.FailShare <= 1 && j.LateShare <= 1
+		return shares && good(0, j.Limit) && good(-mostLearned, j.Credit) && j.Unanswered >= 0 && j.TrialAt >= 0 && j.Cold >= 0
+	}
+	ok := judged(l.Learned.Link) && good(1e-9, l.Learned.MeanSend...) && good(1e-9, l.Learned.MeanTook...) &&
+		good(0, float64(l.Learned.FillShare), float64(l.Learned.OriginShare)) && good(0, l.Learned.LinkSeen[:]...)
+	for _, j := range l.Learned.Targets {
+		ok = ok && judged(j)
+	}
+	if !ok {
+		return errLearned
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/core/learned_test.go
@@ -0,0 +1,107 @@
+package core_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/scenario"
+	"ravenwheel/policy"
+)
+
+// A process that takes over goes on with what the one before has learned: a cache found silent gets nothing but trials.
+func TestInherit(t *testing.T) {
+	p := scenario.NewProxy(t)
+	ask := func(p *scenario.Proxy, id string) {
+		go p.Core.Do(t.Context(), core.Request{ID: id, Class: 1, Object: id, Group: -1, Deadline: p.Clock.Now() + 2500})
+	}
+	for n := range 5 { // nobody has answered yet: three are enough to find it silent
+		ask(p, string(rune('a'+n)))
+	}
+	require.Eventually(t, func() bool { return p.Core.Counters.Attempts.Load() == 5 }, time.Minute, time.Millisecond)
+	p.Clock.Advance(500)
+	text, err := p.Core.Learned()
+	require.NoError(t, err)
+	decode := func(text []byte) (l struct{ Learned policy.Learned }) {
+		require.NoError(t, cbor.Unmarshal(text, &l))
+		return l
+	}
+	l := decode(text)
+	require.True(t, l.Learned.Targets[scenario.CacheID].Down)
+
+	next := scenario.NewProxy(t)
+	next.Clock.Advance(p.Clock.Now() - next.Clock.Now())
+	require.NoError(t, next.Core.Inherit(text))
+	again, err := next.Core.Learned()
+	require.NoError(t, err)
+	require.Equal(t, l, decode(again), "all of it")
+	answer := next.Core.Do(t.Context(), core.Request{ID: "x", Class: 1, Object: "x", Group: -1, Deadline: next.Clock.Now() + 2500})
+	require.Equal(t, core.Refused, answer.Verdict, "not sent where nobody answers")
+	require.Zero(t, next.Core.Counters.Attempts.Load())
+
+	// One that was started since is judged anew.
+	later := scenario.NewProxy(t)
+	m := core.Member{Addr: "127.0.0.1:1"}
+	m.ID, m.Weight, m.Started = scenario.CacheID, 10, policy.Time(later.Clock.Now()*1e6)
+	later.Core.Members(membership.Publish{Version: 2, Members: []core.Member{m}})
+	later.Clock.Advance(p.Clock.Now() - later.Clock.Now())
+	require.NoError(t, later.Core.Inherit(text))
+	again, err = later.Core.Learned()
+	require.NoError(t, err)
+	require.False(t, decode(again).Learned.Targets[scenario.CacheID].Down)
+}
+
+// What another process tells is taken whole or not at all, and nothing that no module can have learned.
+func TestInheritUnusable(t *testing.T) {
+	p := scenario.NewProxy(t)
+	good, err := p.Core.Learned()
+	require.NoError(t, err)
+	require.Error(t, p.Core.Inherit(nil))
+	require.Error(t, p.Core.Inherit(good[:len(good)/2]))
+	require.Error(t, p.Core.Inherit([]byte("\xff\x00rubbish")))
+	type form struct {
+		Revision int
+		Classes  []string
+		Learned  policy.Learned
+	}
+	spoil := map[string]func(f *form){
+		"revision":    func(f *form) { f.Revision = 9 },
+		"classes":     func(f *form) { f.Classes[0] = "other" },
+		"few classes": func(f *form) { f.Learned.MeanSend = f.Learned.MeanSend[:1] },
+		"no number":   func(f *form) { f.Learned.Link.Limit = math.NaN() },
+		"no time":     func(f *form) { f.Learned.MeanTook[0] = 0 },
+		"huge":        func(f *form) { f.Learned.LinkSeen[0] = 1e300 },
+		"share":       func(f *form) { f.Learned.Link.FailShare = 2 },
+		"to come": func(f *form) {
+			j := f.Learned.Targets[scenario.CacheID]
+			j.LastAnswer = policy.Time((p.Clock.Now() + clock.Ms(time.Hour)) * 1e6)
+			f.Learned.Targets[scenario.CacheID] = j
+		},
+		"negative": func(f *form) {
+			j := f.Learned.Targets[scenario.CacheID]
+			j.Unanswered = -5
+			f.Learned.Targets[scenario.CacheID] = j
+		},
+	}
+	for name, f := range spoil {
+		var x form
+		require.NoError(t, cbor.Unmarshal(good, &x))
+		f(&x)
+		text, err := cbor.Marshal(x)
+		require.NoError(t, err)
+		require.Error(t, p.Core.Inherit(text), name)
+	}
+	after, err := p.Core.Learned()
+	require.NoError(t, err)
+	var was, is form
+	require.NoError(t, cbor.Unmarshal(good, &was))
+	require.NoError(t, cbor.Unmarshal(after, &is))
+	require.Equal(t, was, is)
+	require.NoError(t, p.Core.Inherit(good))
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -51,6 +51,12 @@
 	Stop   func(why string) // answer what is open, and end
 }
 
+// Knowledge is what a process has learned and the next one may start from.
+type Knowledge interface {
+	Learned() ([]byte, error)
+	Inherit(text []byte) error
+}
+
 // message is what two processes say to each other. Which fields count is the kind's.
 type message struct {
 	Kind       string             `json:"kind"`
@@ -85,6 +91,7 @@
 
 	orders sync.Mutex // one at a time, also those from the other process
 	out    func(id policy.CacheID, out bool)
+	known  Knowledge // set by Ready; nil: nothing is passed on
 }
 
 // Start looks for the process that owns the address. It returns once what that one told is known, or that there is none.
@@ -122,8 +129,12 @@
 	}
 }
 
-// Ready tells that this process could serve, and waits until it owns the address. The listener is its own from then on.
-func (h *Hand) Ready() (net.Listener, error) {
+// Ready tells that this process could serve, and waits until it owns the address. The listener is its own from then on. k
+// takes what the owner before has learned.
+func (h *Hand) Ready(k Knowledge) (net.Listener, error) {
+	h.mu.Lock()
+	h.known = k
+	h.mu.Unlock()
 	h.tell(decide.Ready{})
 	select {
 	case <-h.owns:
@@ -523,6 +534,7 @@
 		shut(fds[1:])
 		return false
 	}
+	h.inherit()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.ln = tcp
@@ -534,6 +546,42 @@
 	return true
 }
 
+// mostLearned bounds the file of what was learned.
+const mostLearned = 4 << 20
+
+// inherit takes what the owner before has learned. It is worth much less than a start that fails.
+func (h *Hand) inherit() {
+	path := h.base + ".learned"
+	defer os.Remove(path)
+	info, err := os.Stat(path)
+	if err != nil || h.known == nil || info.Size() > mostLearned {
+		return
+	}
+	text, err := os.ReadFile(path)
+	if err == nil {
+		err = h.known.Inherit(text)
+	}
+	if err != nil {
+		h.opt.Log.Warn("handover").Err(err).Msg("what the owner before has learned is not used")
+	}
+}
+
+// bequeath leaves what was learned to the next owner.
+func (h *Hand) bequeath() {
+	path := h.base + ".learned"
+	_ = os.Remove(path) // of an earlier one, which nobody took
+	if h.known == nil {
+		return
+	}
+	text, err := h.known.Learned()
+	if err == nil {
+		err = os.WriteFile(path, text, 0o600)
+	}
+	if err != nil {
+		h.opt.Log.Warn("handover").Err(err).Msg("what was learned is not passed on")
+	}
+}
+
 func shut(fds []int) {
 	for _, fd := range fds {
 		_ = unix.Close(fd)
@@ -549,6 +597,7 @@
 	if err != nil {
 		return
 	}
+	h.bequeath()
 	_ = raw.Control(func(fd uintptr) {
 		fds := []int{int(fd)}
 		if h.lock != nil {
--- a/internal/lab/sim/run.go
+++ b/internal/lab/sim/run.go
@@ -103,7 +103,7 @@
 	if wants > 0 {
 		r.Slow = 1 - ratio(float64(r.quick), float64(wants))
 	}
-	r.HitShare, r.Probes, r.Events = ratio(float64(r.hits), float64(r.answers)), r.probes, w.done
+	r.HitShare, r.Events = ratio(float64(r.hits), float64(r.answers)), w.done
 	r.Broken, r.Rules = w.check.count, w.check.broken
 	for _, s := range w.all {
 		if s.role == w.kinds.cache {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,7 +30,6 @@
 type Pools struct {
 	clock  *clock.Clock
 	limits atomic.Pointer[Limits]
-	probes atomic.Uint64
 	Late   atomic.Int64 // answers that came after their attempt was over
 
 	// pools are found without a lock, by attempts that come by the thousand; a list is put in place whole.
@@ -108,13 +107,6 @@
 	return pl
 }
 
-// CloseIdle closes the idle connections to a cache server.
-func (p *Pools) CloseIdle(to policy.CacheID) {
-	if pl := p.pool(to); pl != nil {
-		pl.closeIdle()
-	}
-}
-
 // Conns is the number of connections held.
 func (p *Pools) Conns() (n int) {
 	p.pools.Load().Root().Walk(func(_ []byte, pl *pool) bool {
@@ -134,14 +126,7 @@
 	})
 }
 
-// Probe asks a cache server how it is. The tag is a request id that no client makes.
-func (p *Pools) Probe(to policy.CacheID, end func(core.End)) {
-	id, raw := probeFrame(p.probes.Add(1))
-	p.start(&call{id: id, to: to, frame: raw, ttl: probeWait, expired: policy.TimedOut, end: end})
-}
-
 const (
-	probeWait = 250
 	// usualPart: with so many calls on each connection another one is opened, while there may be more.
 	usualPart = 4
 	// aloneConns of a cache server's connections are for calls that may not be repeated.
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/hex"
-	"fmt"
 	"math"
 	"strconv"
 	"strings"
@@ -80,11 +79,6 @@
 	return resp.AppendBody(make([]byte, 0, 256+len(a.Body)), a.Body, "fetch", a.ID, string(f))
 }
 
-func probeFrame(n uint64) (id string, raw []byte) {
-	id = fmt.Sprintf("probe-%d", n)
-	return id, resp.Append(nil, "stats", id)
-}
-
 // readAnswer reads one answer: id, word, fields, body. An unknown word is an end that may have run.
 func readAnswer(parts [][]byte) (id string, e core.End, err error) {
 	if len(parts) < 2 {
--- a/policy/api.go
+++ b/policy/api.go
@@ -103,9 +103,6 @@
 	WeightsTold   bool // weights are sizes in transfers, exact or rough
 	MaxTries      int  // 0: no limit
 	Cancel        bool
-	Probes        bool
-	Peers         bool
-	SecondCopies  bool
 	RetryAfter    bool
 	MaxRetryAfter time.Duration
 	ConnectWithin time.Duration
@@ -182,8 +179,8 @@
 // Load is a load report: named values, late and noisy.
 type Load map[string]float64
 
-// Event is something the router is told: one of Members, Request, First, Outcome, ClientLeft, Timer,
-// Probed, Purged and PeerMessage.
+// Event is something the router is told: one of Members, Request, First, Outcome, ClientLeft, Timer
+// and Purged.
 type Event interface{ event() }
 
 // Members is news from discovery.
@@ -234,14 +231,6 @@
 // Timer is an asked-for timer that is due.
 type Timer struct{ Token uint64 }
 
-// Probed is the answer to one Probe.
-type Probed struct {
-	Cache   CacheID
-	Result  Result
-	Latency time.Duration
-	Load    Load
-}
-
 // Purged tells that an object, or with no object a whole group, was purged at the origin.
 type Purged struct {
 	Object string
@@ -249,24 +238,16 @@
 	Age    time.Duration
 }
 
-// PeerMessage is a message from another router.
-type PeerMessage struct {
-	From    int
-	Payload []byte
-}
+func (Members) event()    {}
+func (Request) event()    {}
+func (First) event()      {}
+func (Outcome) event()    {}
+func (ClientLeft) event() {}
+func (Timer) event()      {}
+func (Purged) event()     {}
 
-func (Members) event()     {}
-func (Request) event()     {}
-func (First) event()       {}
-func (Outcome) event()     {}
-func (ClientLeft) event()  {}
-func (Timer) event()       {}
-func (Probed) event()      {}
-func (Purged) event()      {}
-func (PeerMessage) event() {}
-
-// Action is something the router wants done: one of Ask, Get, Cancel, Refuse, Fail, SetTimer, Probe,
-// CloseIdle, Watch, FetchList, Tell and Log. Actions are to be carried out in order.
+// Action is something the router wants done: one of Ask, Get, Cancel, Refuse, Fail, SetTimer,
+// Watch and Log. Actions are to be carried out in order.
 type Action interface{ action() }
 
 // Ask is an attempt for what the cache holds.
@@ -319,36 +300,54 @@
 	After time.Duration
 }
 
-// Probe checks a cache.
-type Probe struct{ Cache CacheID }
-
-// CloseIdle closes the idle connections to a cache.
-type CloseIdle struct{ Cache CacheID }
-
 // Watch asks discovery for changes from now on, or no longer.
 type Watch struct{ On bool }
 
-// FetchList asks discovery for the whole list, once.
-type FetchList struct{}
+// Log is a line for the operators.
+type Log struct{ Text string }
 
-// Tell sends a message to one router, or to all with To below 0.
-type Tell struct {
-	To      int
-	Payload []byte
+func (Ask) action()      {}
+func (Get) action()      {}
+func (Cancel) action()   {}
+func (Refuse) action()   {}
+func (Fail) action()     {}
+func (SetTimer) action() {}
+func (Watch) action()    {}
+func (Log) action()      {}
+
+// Judged is what a router has learned of one cache, parent or the origin.
+type Judged struct {
+	Down                 bool
+	Lost                 bool  // could not be reached, or broke off, since it was last up
+	Unanswered           int   // attempts past their aim since the last answer
+	FailedAt             Time  // when it failed last
+	FailShare, LateShare share // of its last attempts: failed; timed out
+	LastAnswer           Time
+	TrialAt              Time
+	Limit                float64 // attempts (of a source: fills) this router lets itself have out
+	Heard                Time    // when an answer last spoke for the limit
+	Ramped               Time    // start of the rising share
+	Ramps                bool
+	Cold                 Time // start of the cold time, for the budget
+	Colds                bool
+	Credit               float64 // of the cold budget, in seconds of sending; below 0 it is overdrawn
+	CreditAt             Time
 }
 
-// Log is a line for the operators.
-type Log struct{ Text string }
+// Learned is what a router has learned of all, for the one that takes its place.
+type Learned struct {
+	Targets                map[CacheID]Judged
+	Link                   Judged
+	MeanSend, MeanTook     []float64
+	FillShare, OriginShare share
+	LinkSeen               [foreign + 1]float64
+}
 
-func (Ask) action()       {}
-func (Get) action()       {}
-func (Cancel) action()    {}
-func (Refuse) action()    {}
-func (Fail) action()      {}
-func (SetTimer) action()  {}
-func (Probe) action()     {}
-func (CloseIdle) action() {}
-func (Watch) action()     {}
-func (FetchList) action() {}
-func (Tell) action()      {}
-func (Log) action()       {}
+// Learned is what a router that takes this one's place may start from.
+func (r *Router) Learned() Learned {
+	l := Learned{map[CacheID]Judged{}, r.link.Judged, r.meanSend, r.meanTook, r.fillShare, r.originShare, r.linkSeen}
+	for id, t := range r.known {
+		l.Targets[id] = t.Judged
+	}
+	return l
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -115,7 +115,7 @@
 	}
 	r.learned, r.meanTook = make([]Time, len(s.Classes)), append([]float64(nil), r.meanSend...)
 	r.link = &target{Member: Member{Zone: s.Zone}}
-	r.link.limit = limitStart / float64(r.sharers(r.link))
+	r.link.Limit = limitStart / float64(r.sharers(r.link))
 	return r, nil
 }
 
@@ -247,11 +247,11 @@
 	q.attempts = append(q.attempts, a)
 	q.open++
 	to.out = append(to.out, a)
-	to.credit -= r.sendingTime(q)
+	to.Credit -= r.sendingTime(q)
 	r.through(a, q.class.Uncached)
 	if source != nil && source != to {
 		a.fill = r.sendingTime(q)
-		source.credit -= a.fill
+		source.Credit -= a.fill
 		source.fills++
 		r.link.fills++
 		if source.role == parent && how&HeldOnly == 0 && r.origin != nil {
@@ -267,7 +267,7 @@
 	left, timeout := q.due-r.now, q.due-r.now
 	if trial != nil {
 		timeout = min(left/2, aim)
-		trial.trialOut, trial.trialAt = true, r.now+trialEvery
+		trial.trialOut, trial.TrialAt = true, r.now+trialEvery
 	}
 	if aim < left {
 		r.after(min(aim, timeout), timer{kind: atAim, a: a})
@@ -309,7 +309,7 @@
 			if c.State != Ready || !q.maySend(r.now, c) || !r.affords(c) {
 				continue
 			}
-			if c.down {
+			if c.Down {
 				if pass == 0 && r.trialDue(c, q) {
 					return c, c
 				}
@@ -338,7 +338,7 @@
 // is answered in time, or it said that it was full. A limit is kept by chance, one draw a request, so that
 // one below a single attempt still lets its part through.
 func (r *Router) crowded(q *request, t *target, taken float64) bool {
-	return r.now < t.fullUntil || taken+q.luck > t.limit*r.scale
+	return r.now < t.fullUntil || taken+q.luck > t.Limit*r.scale
 }
 
 // standing is the part of a limit that a class may use. In a jam a place is best given to the class that
@@ -373,22 +373,22 @@
 		sharers = float64(r.sharers(t))
 		least = limitLeast / sharers
 	}
-	speaks := min(limitSpeaks, max(1, float64(r.now-t.heard)/float64(limitEvery)))
+	speaks := min(limitSpeaks, max(1, float64(r.now-t.Heard)/float64(limitEvery)))
 	switch {
-	case t.role != edge && !late && 2*r.places(t)+spareSource < t.limit*r.scale:
-	case 2*(r.places(t)+1) < t.limit*r.scale:
+	case t.role != edge && !late && 2*r.places(t)+spareSource < t.Limit*r.scale:
+	case 2*(r.places(t)+1) < t.Limit*r.scale:
 	case late:
-		t.limit *= math.Pow(limitShrink, speaks/r.scale)
+		t.Limit *= math.Pow(limitShrink, speaks/r.scale)
 	default:
-		t.limit += min(limitStep/sharers/t.limit, limitRaise*speaks*t.limit) / r.scale
+		t.Limit += min(limitStep/sharers/t.Limit, limitRaise*speaks*t.Limit) / r.scale
 	}
-	t.limit, t.heard = max(t.limit, least), r.now
+	t.Limit, t.Heard = max(t.Limit, least), r.now
 }
 
 // passBy is for a location with no cache up: past crowded ones it would bring the jam to the parents.
 func (r *Router) passBy(q *request) *target {
 	for _, c := range r.caches {
-		if c.State == Ready && !c.down {
+		if c.State == Ready && !c.Down {
 			return nil
 		}
 	}
@@ -418,7 +418,7 @@
 		if p.State != Ready || has(q.bad, p) || r.crowded(q, p, r.places(p)) || !r.affords(p) {
 			continue
 		}
-		if p.down {
+		if p.Down {
 			if r.trialDue(p, q) {
 				return p, 0, p
 			}
@@ -443,7 +443,7 @@
 		return nil
 	}
 	t := h.t
-	if !t.usable() || t.down || t.colds && h.at < t.cold || r.now < t.fullUntil {
+	if !t.usable() || t.Down || t.Colds && h.at < t.Cold || r.now < t.fullUntil {
 		return nil
 	}
 	near := r.set.Siblings != ReachNone && t.role == edge || r.set.Siblings == ReachAny
@@ -459,7 +459,7 @@
 func (t *target) usable() bool { return t != nil && t.listed && t.State == Ready }
 
 func (r *Router) trialDue(t *target, q *request) bool {
-	return !t.trialOut && r.now >= t.trialAt && q.class.Effect == Safe && len(q.attempts) == 0
+	return !t.trialOut && r.now >= t.TrialAt && q.class.Effect == Safe && len(q.attempts) == 0
 }
 
 // overdue books an attempt whose aim has passed on the one who owes the answer: the cache, if it has
@@ -469,16 +469,16 @@
 	worst := a.to // whose doing it is: of cache, parent and origin the one that has most overdue
 	for _, t := range []*target{a.to, a.source, a.deep} {
 		if t != nil {
-			t.lateShare.learn(true, failGain)
-			if t.lateShare > worst.lateShare {
+			t.LateShare.learn(true, failGain)
+			if t.LateShare > worst.LateShare {
 				worst = t
 			}
 		}
 	}
 	r.adapt(worst, true)
-	if a.to.lastAnswer < a.sent {
+	if a.to.LastAnswer < a.sent {
 		r.unanswered(a.to)
-	} else if a.source != nil && a.source != a.to && a.source.lastAnswer < a.sent {
+	} else if a.source != nil && a.source != a.to && a.source.LastAnswer < a.sent {
 		// It waits for its source, not for the cache: counted there, waits would shut out the hits.
 		r.through(a, true)
 		r.unanswered(a.source)
@@ -486,35 +486,35 @@
 }
 
 func (r *Router) unanswered(t *target) {
-	t.unanswered++
-	if t.unanswered >= unansweredCount || t.unanswered >= silentCount && r.now-t.lastAnswer >= silentFor {
+	t.Unanswered++
+	if t.Unanswered >= unansweredCount || t.Unanswered >= silentCount && r.now-t.LastAnswer >= silentFor {
 		r.markDown(t, "silent")
 	}
 }
 
 // failed books a failure on one that broke off, or that met an error with what another could serve.
 func (r *Router) failed(t *target) {
-	if t.failedAt > 0 && r.now-t.failedAt < oneBreak {
+	if t.FailedAt > 0 && r.now-t.FailedAt < oneBreak {
 		return
 	}
-	t.failedAt = r.now
-	t.failShare.learn(true, failGain)
-	if t.failShare > failShareDown {
+	t.FailedAt = r.now
+	t.FailShare.learn(true, failGain)
+	if t.FailShare > failShareDown {
 		r.markDown(t, "failing")
 	}
 }
 
 // answered is an answer: the silence is broken, and a trial has succeeded.
 func (r *Router) answered(t *target) {
-	t.unanswered, t.lastAnswer = 0, r.now
-	t.failShare.learn(false, failGain)
+	t.Unanswered, t.LastAnswer = 0, r.now
+	t.FailShare.learn(false, failGain)
 }
 
 func (r *Router) markDown(t *target, why string) {
-	if t.down || t == r.origin {
+	if t.Down || t == r.origin {
 		return
 	}
-	t.down, t.trialAt = true, r.now+trialEvery
+	t.Down, t.TrialAt = true, r.now+trialEvery
 	// What waits on a silent one would wait until its client leaves: it is called off and sent elsewhere.
 	for _, c := range r.caches {
 		for _, a := range c.out {
@@ -528,12 +528,12 @@
 }
 
 func (r *Router) markUp(t *target) {
-	t.down, t.unanswered, t.failShare = false, 0, 0
-	t.ramped, t.ramps = r.now, true
+	t.Down, t.Unanswered, t.FailShare = false, 0, 0
+	t.Ramped, t.Ramps = r.now, true
 	// One that could not be reached may have restarted before the list says so: taken as cold until the
 	// list tells its start. One that was only silent has kept what it holds.
-	if t.lost {
-		t.lost = false
+	if t.Lost {
+		t.Lost = false
 		r.chill(t, r.now)
 	}
 	r.do(Log{Text: fmt.Sprintf("%d up", t.ID)})
@@ -556,7 +556,7 @@
 			t.fullUntil = r.now + fullPause
 		}
 	case o.Result == ConnectFailed:
-		t.lost = true
+		t.Lost = true
 		r.markDown(t, "connection failed")
 	case o.Result == Reset: // of one connection: a process that died refuses the next
 		r.failed(t)
@@ -570,7 +570,7 @@
 	}
 	if a.trial == t {
 		t.trialOut = false
-		if alive && t.down {
+		if alive && t.Down {
 			r.markUp(t)
 		}
 	}
@@ -585,7 +585,7 @@
 		s.fullUntil = r.now + fullPause
 	case NoteSourceLost:
 		if o.Result == Full && o.Waited <= r.set.ConnectWithin {
-			s.lost = true
+			s.Lost = true
 			r.markDown(s, "connection failed")
 		} else {
 			r.unanswered(s)
@@ -596,10 +596,10 @@
 	}
 	if a.trial == s {
 		s.trialOut = false
-		if sourceAlive && s.down {
+		if sourceAlive && s.Down {
 			r.markUp(s)
 		} else if o.Note != NoteSourceLost {
-			s.trialAt = r.now // a hit told nothing of the source: the next request tries
+			s.TrialAt = r.now // a hit told nothing of the source: the next request tries
 		}
 	}
 }
@@ -610,7 +610,7 @@
 	// A fill is booked in full when it is sent: booked by its chance, a cold parent whose answers took
 	// seconds was pushed over. It is given back where none was made; a look in vain reached the source.
 	if a.fill > 0 && (o.Result == OK && !filled || o.Result == ConnectFailed || o.Note == NoteNoPlace) {
-		a.source.credit += a.fill
+		a.source.Credit += a.fill
 	}
 	// A late fill is its source's doing where the first byte was what took long, else that of a link: its
 	// source's, where fills from others come in time, or the location's. One jam there feeds itself: fills
@@ -618,15 +618,15 @@
 	decided, soon := a.to, o.Waited <= q.class.Target/2
 	if filled && a.source != nil {
 		decided = a.source
-		if r.link.lateShare.learn(a.late && soon, failGain); !a.late {
-			a.source.lateShare.learn(false, failGain)
+		if r.link.LateShare.learn(a.late && soon, failGain); !a.late {
+			a.source.LateShare.learn(false, failGain)
 			r.adapt(r.link, false)
-		} else if soon && r.link.lateShare >= a.source.lateShare {
+		} else if soon && r.link.LateShare >= a.source.LateShare {
 			decided = r.link
 		}
 	}
 	if o.Note == NoteFilledOrigin && a.deep != nil {
-		if a.deep.lateShare.learn(a.late && !soon, failGain); a.late && !soon {
+		if a.deep.LateShare.learn(a.late && !soon, failGain); a.late && !soon {
 			decided = a.deep
 		} else {
 			r.adapt(a.deep, false)
@@ -636,7 +636,7 @@
 	case o.Note == NoteNoPlace:
 		r.adapt(r.link, true)
 	case o.Result == OK:
-		a.to.lateShare.learn(a.late, failGain)
+		a.to.LateShare.learn(a.late, failGain)
 		r.adapt(decided, a.late)
 	case turned && a.source != nil:
 		r.adapt(a.source, true) // whoever is full is over its limit, and so may the origin behind it be
@@ -732,13 +732,13 @@
 
 // inRamp tells whether an object is in the share that a new or returned target gets by now.
 func (r *Router) inRamp(t *target, key uint64) bool {
-	if !t.ramps {
+	if !t.Ramps {
 		return true
 	}
 	length := cmp.Or(time.Duration(rampPart*float64(r.fall(t).WarmWithin)), rampElse)
-	share := rampFrom + (1-rampFrom)*float64(r.now-t.ramped)/float64(length)
+	share := rampFrom + (1-rampFrom)*float64(r.now-t.Ramped)/float64(length)
 	if share >= 1 {
-		t.ramps = false
+		t.Ramps = false
 		return true
 	}
 	return unit(mix(mix(key)+uint64(t.ID))) < share
@@ -757,32 +757,32 @@
 // turns: they start in debt by chance, and a turn not used passes. All that sent their one attempt at once
 // would be the budget many times over.
 func (r *Router) affords(t *target) bool {
-	if !t.colds || t.role == origin {
+	if !t.Colds || t.role == origin {
 		return true
 	}
 	f := r.fall(t)
-	if f.Multiple <= 0 || f.Within <= 0 || f.WarmWithin <= 0 || r.now-t.cold > f.WarmWithin+f.Within {
-		t.colds = false
+	if f.Multiple <= 0 || f.Within <= 0 || f.WarmWithin <= 0 || r.now-t.Cold > f.WarmWithin+f.Within {
+		t.Colds = false
 		return true
 	}
-	warmth := float64(max(0, r.now-t.cold-f.Within)) / float64(f.WarmWithin)
+	warmth := float64(max(0, r.now-t.Cold-f.Within)) / float64(f.WarmWithin)
 	capacity := f.ColdFrom + (1-f.ColdFrom)*min(1, warmth)
 	// At least one attempt of the longest class a window for all routers: with no history one can still try.
 	least := slices.Max(r.meanSend) / float64(r.sharers(t)) / f.Within.Seconds()
 	part := max(budgetSafety*f.Multiple*capacity*r.linkPart(t), least)
 	most := part * f.Within.Seconds() * budgetBurst
-	t.credit, t.creditAt = t.credit+part*(r.now-t.creditAt).Seconds(), r.now
-	if turn := slices.Max(r.meanSend); most < turn && t.credit > most {
-		t.credit -= turn * math.Ceil((t.credit-most)/turn)
+	t.Credit, t.CreditAt = t.Credit+part*(r.now-t.CreditAt).Seconds(), r.now
+	if turn := slices.Max(r.meanSend); most < turn && t.Credit > most {
+		t.Credit -= turn * math.Ceil((t.Credit-most)/turn)
 	}
-	t.credit = min(t.credit, most)
-	return t.credit >= 0
+	t.Credit = min(t.Credit, most)
+	return t.Credit >= 0
 }
 
 // chill starts the budget of one that is taken as cold from a time on.
 func (r *Router) chill(t *target, from Time) {
 	r.rng = mix(r.rng)
-	t.cold, t.colds, t.credit, t.creditAt = from, true, -unit(r.rng)*slices.Max(r.meanSend), r.now
+	t.Cold, t.Colds, t.Credit, t.CreditAt = from, true, -unit(r.rng)*slices.Max(r.meanSend), r.now
 }
 
 // linkPart is this router's part of a target's link, in transfers: as told, else the most that its role
@@ -835,7 +835,7 @@
 	for _, m := range e.Entries {
 		t, known := r.known[m.ID]
 		if !known {
-			t = &target{limit: sourceStart, hashed: mix(uint64(m.ID))}
+			t = &target{Judged: Judged{Limit: sourceStart}, hashed: mix(uint64(m.ID))}
 			r.known[m.ID], r.order = t, append(r.order, t)
 		}
 		started := m.Started > 0 && m.Started != t.Started
@@ -850,13 +850,13 @@
 		default:
 			t.role = edge
 			if !known { // the limit starts at this router's part: its neighbours fill the same caches
-				t.limit = limitStart / float64(r.sharers(t))
+				t.Limit = limitStart / float64(r.sharers(t))
 			}
 		}
 		if started && t.role != origin {
 			r.chill(t, m.Started)
-			t.ramped, t.ramps = m.Started, true
-			t.down, t.unanswered, t.failShare, t.trialOut = false, 0, 0, false
+			t.Ramped, t.Ramps = m.Started, true
+			t.Down, t.Unanswered, t.FailShare, t.trialOut = false, 0, 0, false
 		}
 	}
 	r.relist()
@@ -866,8 +866,8 @@
 		}
 		r.scale = max(1, total/float64(len(r.caches))/usualLink)
 		for _, t := range r.order {
-			if t.heard == 0 && t.role != edge {
-				t.limit = min(sourceStart, sourcePart*total/float64(r.sharers(r.caches[0])))
+			if t.Heard == 0 && t.role != edge {
+				t.Limit = min(sourceStart, sourcePart*total/float64(r.sharers(r.caches[0])))
 			}
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,33 +21,18 @@
 // target is a cache, a parent or the origin: one judgement for all.
 type target struct {
 	Member
+	Judged
 	role   role
 	listed bool
 	hashed uint64  // of its id
 	score  float64 // in the order asked for last
 
-	down                 bool
-	lost                 bool  // could not be reached, or broke off, since it was last up
-	unanswered           int   // attempts past their aim since the last answer
-	failedAt             Time  // when it failed last
-	failShare, lateShare share // of its last attempts: failed; timed out
-	lastAnswer           Time
-	trialAt              Time
-	trialOut             bool
-	fullUntil            Time
-	noFills              Time    // until then it is asked only for what it holds
-	limit                float64 // attempts (of a source: fills) this router lets itself have out
-	heard                Time    // when an answer last spoke for the limit
-	fills                int     // open attempts that name it as their source
-	deep                 int     // open fills at parents that may ask it, the origin
-	through              int     // open attempts that only pass through it
-
-	ramped   Time // start of the rising share
-	ramps    bool
-	cold     Time // start of the cold time, for the budget
-	colds    bool
-	credit   float64 // of the cold budget, in seconds of sending; below 0 it is overdrawn
-	creditAt Time
+	trialOut  bool
+	fullUntil Time
+	noFills   Time // until then it is asked only for what it holds
+	fills     int  // open attempts that name it as their source
+	deep      int  // open fills at parents that may ask it, the origin
+	through   int  // open attempts that only pass through it
 
 	out []*attempt // attempts sent here, oldest first
 }
@@ -144,6 +129,17 @@
 	linkSeen    [foreign + 1]float64 // the most that one of a role served this router, transfers
 }
 
+// Inherit starts from what was learned by the router before, of those that were not started since.
+func (r *Router) Inherit(l Learned) {
+	for id, j := range l.Targets {
+		if t := r.known[id]; t != nil && t.Started <= j.Cold {
+			t.Judged = j
+		}
+	}
+	r.link.Judged, r.meanSend, r.meanTook = l.Link, l.MeanSend, l.MeanTook
+	r.fillShare, r.originShare, r.linkSeen = l.FillShare, l.OriginShare, l.LinkSeen
+}
+
 func (r *Router) do(a Action) { r.out = append(r.out, a) }
 
 func (r *Router) after(d time.Duration, t timer) {
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -13,9 +13,9 @@
 	Discovery, Weights     string
 	TickUs                 int64
 	Bounds                 struct {
-		Cancel, Peers, Probing, RetryAfter, SecondCopies bool
-		MostTries                                        int
-		MaxRetryAfterUs, ConnectTimeoutUs                int64
+		Cancel, RetryAfter                bool
+		MostTries                         int
+		MaxRetryAfterUs, ConnectTimeoutUs int64
 	}
 	Rules struct {
 		AnswerSlackUs, AskWithinUs, DrainGraceUs, FallUs, WarmWithinUs int64
@@ -97,8 +97,7 @@
 		},
 		AnswerSlack: us(e.Rules.AnswerSlackUs),
 		WeightsTold: e.Weights == "nominal" || e.Weights == "rough",
-		MaxTries:    e.Bounds.MostTries, Cancel: e.Bounds.Cancel, Probes: e.Bounds.Probing, Peers: e.Bounds.Peers,
-		SecondCopies: e.Bounds.SecondCopies, RetryAfter: e.Bounds.RetryAfter,
+		MaxTries:    e.Bounds.MostTries, Cancel: e.Bounds.Cancel, RetryAfter: e.Bounds.RetryAfter,
 		MaxRetryAfter: us(e.Bounds.MaxRetryAfterUs), ConnectWithin: us(e.Bounds.ConnectTimeoutUs), Tick: us(e.TickUs),
 	}
 	for i, g := range e.Grades {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -217,17 +217,6 @@
 	},
 	"ClientLeft":   func(v *values) any { return policy.ClientLeft{ID: v.text("Txn", true)} },
 	"TimeoutFired": func(v *values) any { t := policy.Timer{}; v.next(&t.Token, true, "Mark"); return t },
-	"Probed": func(v *values) any {
-		e := policy.Probed{Result: results[v.text("Rc", true)], Latency: us(v.num("LagUs", false))}
-		e.Cache = v.cache()
-		e.Load = v.load()
-		return e
-	},
-	"Peer": func(v *values) any {
-		e := policy.PeerMessage{From: int(v.num("From", true))}
-		v.next(&e.Payload, false, "Payload")
-		return e
-	},
 	"Purged": func(v *values) any {
 		group := int64(-1)
 		v.next(&group, false, "SetNo")
@@ -306,20 +295,8 @@
 	case policy.SetTimer:
 		// Rounded up: a timer never comes before its time.
 		return []any{"After", a.Who, x.Token, int64((x.After + time.Microsecond - 1) / time.Microsecond)}
-	case policy.Probe:
-		return []any{"Test", a.Who, x.Cache}
-	case policy.CloseIdle:
-		return []any{"DropConns", a.Who, x.Cache}
 	case policy.Watch:
 		return []any{"Tail", a.Who, x.On}
-	case policy.FetchList:
-		return []any{"Fetch", a.Who}
-	case policy.Tell:
-		to := x.To
-		if to < 0 {
-			to = -1
-		}
-		return []any{"MemoTo", a.Who, to, x.Payload}
 	case policy.Log:
 		return []any{"Print", a.Who, x.Text}
 	case Fault:
