A process told to end answers in time what clients ask on connections that they hold

Requests came on kept connections up to 1.6 s after SIGTERM, with 2.2 s to go; a server hung. Ruled out: the hand-over (all owners in order), the end of the process by itself (it waits longer). Change: from SIGTERM on a request's deadline is when the process is killed at the latest, less 150 ms; what can't be answered by then gets a refusal of the module in time.

--- a/cmd/ravenwheel/place.go
+++ b/cmd/ravenwheel/place.go
@@ -23,7 +23,7 @@
 
 // takePlace opens the console and finds the process that owns the address, if there is one. stop ends the program.
 func takePlace(conf *config.Config, clk *clock.Clock, log *logs.Log, stop context.CancelFunc) (p *place, err error) {
-	d := desk.New(desk.Options{Clock: clk, MemoryMB: conf.MemoryMB, Conns: conf.Sockets / 2, Stop: stop})
+	d := desk.New(desk.Options{Clock: clk, MemoryMB: conf.MemoryMB, Conns: conf.Sockets / 2, AnswerWithin: killed(conf), Stop: stop})
 	p = &place{desk: d}
 	if conf.Console == "" {
 		return p, nil
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -29,6 +29,9 @@
 	// killAfter: SIGKILL comes no sooner than the longest deadline and so many ms after SIGTERM. stopMargin before that
 	// the program ends of itself; idleEvery it looks whether anything is still owed.
 	killAfter, stopMargin, idleEvery = 700, 100, 10
+	// countedMost: a longer deadline is counted as this. answerMargin is for an answer to be written within, in ms.
+	countedMost  = 3 * time.Second
+	answerMargin = 150
 	// leastConns, mostConns: connections to one cache server, one in connShare of the descriptors.
 	leastConns, mostConns, connShare = 4, 8, 32
 	// profileFor: a profile covers the start and some traffic, and is whole though SIGKILL follows.
@@ -186,9 +189,19 @@
 	<-over
 }
 
-// longest is the longest deadline of a class, 3 s at least.
+// killed is how many ms after SIGTERM all has to be answered, as SIGKILL may come then: after the longest deadline, counted
+// as 3 s where it is longer, and killAfter.
+func killed(conf *config.Config) float64 {
+	most := time.Duration(0)
+	for _, c := range conf.Settings.Classes {
+		most = max(most, c.Deadline)
+	}
+	return clock.Ms(min(most, countedMost)) + killAfter - answerMargin
+}
+
+// longest is the longest deadline of a class, 3 s at least: the program does not end of itself while SIGKILL may come later.
 func longest(conf *config.Config) time.Duration {
-	most := 3 * time.Second
+	most := countedMost
 	for _, c := range conf.Settings.Classes {
 		most = max(most, c.Deadline)
 	}
--- a/internal/decide/drain/drain.go
+++ b/internal/decide/drain/drain.go
@@ -13,6 +13,8 @@
 	FrontAfter float64
 	// RefuseAfter: no request that comes later is sent on. Later serves more, and leaves less time to end within.
 	RefuseAfter float64
+	// AnswerWithin: a proxy that was told to end is killed so long after, whatever it owes by then.
+	AnswerWithin float64
 }
 
 // Phase is what the proxy does.
@@ -44,13 +46,18 @@
 	Stop
 )
 
-// State is the proxy as a whole. The zero value is one that has just started.
+// State is the proxy as a whole. See New.
 type State struct {
+	set    Settings
 	phase  Phase
 	paused bool // an operator said so
 	since  float64
+	until  float64 // once it was told to end: when it is killed
 }
 
+// New returns the state of a proxy that has just started.
+func New(s Settings) *State { return &State{set: s} }
+
 // Handle takes an event at a time in ms; ok is false for a call that changes nothing here any more.
 func (s *State) Handle(now float64, e Event) (ok bool) {
 	to := s.phase
@@ -69,6 +76,9 @@
 		}
 		s.paused = e == Pause
 	case Stop:
+		if to != Stopping {
+			s.until = now + s.set.AnswerWithin
+		}
 		to = Stopping
 	}
 	if to == Serving && s.paused {
@@ -98,17 +108,18 @@
 	On         bool
 	CloseFrom  float64 // Unix ms from which a connection at rest ends
 	RefuseFrom float64 // and from which new requests are refused
+	Until      float64 // by which all is answered, whatever a client would wait; 0: no such bound
 }
 
 // Plan is what holds for connections until the next event.
-func (s *State) Plan(set Settings, successor bool) Plan {
+func (s *State) Plan(successor bool) Plan {
 	switch {
 	case s.phase == Draining:
-		return Plan{On: true, CloseFrom: s.since + set.FrontAfter, RefuseFrom: s.since + set.RefuseAfter}
+		return Plan{On: true, CloseFrom: s.since + s.set.FrontAfter, RefuseFrom: s.since + s.set.RefuseAfter}
 	case s.phase == Yielding, s.phase == Stopping && successor: // new connections go to the successor at once
-		return Plan{On: true, CloseFrom: s.since, RefuseFrom: s.since + set.RefuseAfter}
+		return Plan{On: true, CloseFrom: s.since, RefuseFrom: s.since + s.set.RefuseAfter, Until: s.until}
 	}
-	return Plan{} // one that ends alone hears out what is on its way, see serve
+	return Plan{Until: s.until} // one that ends alone hears out what is on its way, see serve
 }
 
 // Conn is what is known of a connection.
@@ -125,5 +136,14 @@
 	return p.On && now >= p.CloseFrom && c.Open == 0 && !c.Unread && !c.New && (!c.Half || now >= p.RefuseFrom)
 }
 
+// Deadline is when a request that has just come has to be answered. Guards against one on a connection that its client
+// holds: it came 1.5 s after SIGTERM with 2.2 s to go, and SIGKILL found it unanswered.
+func (p Plan) Deadline(own float64) float64 {
+	if p.Until > 0 {
+		return min(own, p.Until)
+	}
+	return own
+}
+
 // Hears tells whether a request that has just come is sent on.
 func (p Plan) Hears(now float64) bool { return !p.On || now < p.RefuseFrom }
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -14,8 +14,8 @@
 	"ravenwheel/policy"
 )
 
-// settings: whoever sends clients asks ten times a second and stops 0.2 s after a no; after 2 s none may come any more.
-var settings = drain.Settings{FrontAfter: 350, RefuseAfter: 1600}
+// frontAfter, refuseAfter in ms: whoever sends clients asks ten times a second and stops 0.2 s after a no; after 2 s none may come any more.
+const frontAfter, refuseAfter = 350, 1600
 
 // Front is the clients' front, as far as it is told.
 type Front interface {
@@ -37,7 +37,9 @@
 	Clock    *clock.Clock
 	MemoryMB int // 0: not bounded
 	Conns    int // clients' connections, of all processes together
-	Stop     func()
+	// AnswerWithin: in ms from SIGTERM on, until SIGKILL.
+	AnswerWithin float64
+	Stop         func()
 }
 
 // Desk is one proxy's. It is a console.Desk, and what handover.Options call on.
@@ -45,7 +47,7 @@
 	opt Options
 
 	mu        sync.Mutex
-	state     drain.State
+	state     *drain.State
 	front     Front // nil: none yet
 	servers   Servers
 	hand      *handover.Hand // nil: no other process can take over
@@ -55,7 +57,10 @@
 }
 
 // New returns the desk of a proxy that has just started.
-func New(o Options) *Desk { return &Desk{opt: o} }
+func New(o Options) *Desk {
+	set := drain.Settings{FrontAfter: frontAfter, RefuseAfter: refuseAfter, AnswerWithin: o.AnswerWithin}
+	return &Desk{opt: o, state: drain.New(set)}
+}
 
 // Serve tells what the desk works with. The proxy serves once it owns its address.
 func (d *Desk) Serve(f Front, s Servers, h *handover.Hand) {
@@ -72,7 +77,7 @@
 	}
 	d.front.Takes(d.state.Takes())
 	d.front.Accepting(d.accepting)
-	d.front.Empty(d.state.Plan(settings, d.passed))
+	d.front.Empty(d.state.Plan(d.passed))
 	most := d.opt.Conns
 	if d.shared { // honest clients hold a third of all descriptors, and move from one process to the other
 		most = most * 3 / 4
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -442,8 +442,9 @@
 
 // call opens a request and lets it live in a goroutine of its own.
 func (c *client) call(ctx context.Context, tag string, args [][]byte) error {
-	now := c.front.clock.Now()
+	now, plan := c.front.clock.Now(), c.front.plan.Load()
 	q, ok := readCall(args, now, c.front.core)
+	q.Deadline = plan.Deadline(q.Deadline)
 	ctx, cancel := context.WithCancel(ctx)
 	c.mu.Lock()
 	if c.closed {
@@ -464,7 +465,7 @@
 		cancel()
 		c.send(word(tag, "fault"))
 		return nil
-	case !c.front.plan.Load().Hears(now):
+	case !plan.Hears(now) || q.Deadline <= now:
 		c.mu.Lock()
 		delete(c.open, tag)
 		c.mu.Unlock()
