Front tests listen at an address of their own process

Seen under heavy load: 40 copies at once of the front's tests, a write that never ran is answered as failed. Checked: the program answers a refused connection with full, always; Go's close of a listener waits until it is closed; a connection to oneself is undone by the library. What is left is the port: between a stand-in's close and the proxy's dial another copy listens there. Change: stand-ins and fronts of tests listen at 127.73.x.y of their process.

--- a/internal/front/resp/empty_test.go
+++ b/internal/front/resp/empty_test.go
@@ -16,7 +16,7 @@
 
 func emptied(t *testing.T, names ...string) (*scenario.Proxy, *resp.Front, map[string]scenario.Actor) {
 	p := scenario.NewProxy(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", scenario.Loopback())
 	require.NoError(t, err)
 	f := resp.New(ln, 20, p.Clock, p.Core)
 	go func() { _ = f.Serve() }()
--- a/internal/front/resp/front_test.go
+++ b/internal/front/resp/front_test.go
@@ -142,7 +142,7 @@
 // When all places are taken, the longest silent one makes room, then the longest idle, but none that waits.
 func TestFull(t *testing.T) {
 	p := scenario.NewProxy(t)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", scenario.Loopback())
 	require.NoError(t, err)
 	f := resp.New(ln, 3, p.Clock, p.Core)
 	go func() { _ = f.Serve() }()
@@ -180,7 +180,7 @@
 	for name, script := range scenarios {
 		t.Run(name, func(t *testing.T) {
 			p := scenario.NewProxy(t)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			ln, err := net.Listen("tcp", scenario.Loopback())
 			require.NoError(t, err)
 			f := resp.New(ln, 10, p.Clock, p.Core)
 			go func() { _ = f.Serve() }()
@@ -207,7 +207,7 @@
 		c expect 1 ok ok304=1 -`
 	for range 2 {
 		p := scenario.NewProxy(t)
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", scenario.Loopback())
 		require.NoError(t, err)
 		f := resp.New(ln, 10, p.Clock, p.Core)
 		go func() { _ = f.Serve() }()
--- a/internal/front/resp/soak_test.go
+++ b/internal/front/resp/soak_test.go
@@ -46,7 +46,7 @@
 	pools := upstream.New(clk, upstream.Limits{PerConn: 100, Conns: 4, Connect: 5000, Idle: 30_000})
 	c, err := core.New(scenario.Settings(), []string{"replay", "asset", "seat-claim"}, 0, 7, clk, pools)
 	require.NoError(t, err)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", scenario.Loopback())
 	require.NoError(t, err)
 	front := resp.New(ln, 20, clk, c)
 	go func() { _ = front.Serve() }()
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"path"
 	"strings"
 	"sync"
@@ -204,9 +205,13 @@
 	by    map[string]net.Conn // where each id came
 }
 
+// Loopback is an address of this process's own, with a port from the kernel. Guards against another run of these tests that
+// takes a port between its close and the next use: a connection that should be refused reached a stranger's stand-in.
+func Loopback() string { return fmt.Sprintf("127.73.%d.%d:0", os.Getpid()>>8&255, os.Getpid()&255) }
+
 // Listen starts a stand-in on a port from the kernel.
 func Listen(t *testing.T) *Server {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", Loopback())
 	require.NoError(t, err)
 	s := &Server{ln: ln, in: make(inbox, 100), by: map[string]net.Conn{}}
 	t.Cleanup(func() { _ = s.Close() })
@@ -227,7 +232,7 @@
 
 // ListenOnce serves each connection once, closes it, and returns where it listens.
 func ListenOnce(t *testing.T, serve func(net.Conn)) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", Loopback())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
