--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -56,7 +56,7 @@
 func ask(t *testing.T, c *Console, text string) string {
 	nc := dial(t, c)
 	_, _ = nc.Write([]byte(text)) // a line too long is answered before it has all been sent
-	_ = nc.CloseWrite() // the answer, and the close behind it, may have come already
+	_ = nc.CloseWrite()           // the answer, and the close behind it, may have come already
 	answer, _ := io.ReadAll(nc)
 	return string(answer)
 }
