Front test: the idle connection is at rest in the books before places run out

Cause: the client has its answer a moment before the writer books it as written; shed takes such a connection for one that is owed something, and closes the next idle one. That is right: an answer must never be cut off. Change: the test waits for the books.

--- a/internal/front/resp/front_test.go
+++ b/internal/front/resp/front_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -155,6 +156,8 @@
 		idle send RPC.HEALTH 1
 		idle expect 1 yes
 		wait 1`)
+	// The client has the answer a moment before the front's books say that it is written; until then it is not closed.
+	require.Eventually(t, f.Idle, time.Minute, time.Millisecond)
 	dial("silent")
 	dial("waits")
 	play(`
