--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,13 +20,25 @@
 	Revision int
 	Classes  []string
 	Learned  policy.Learned
+	Counted  []int64 // what the counters have risen to, in the order of rising
+}
+
+// rising are the counters that only rise: they go on where the process before has left them.
+func (n *Counters) rising() []*atomic.Int64 {
+	return []*atomic.Int64{
+		&n.Requests, &n.Served, &n.Refused, &n.Failed, &n.Gone, &n.Attempts, &n.Timeouts, &n.Stale, &n.Notices, &n.Unsent,
+		&n.Unanswered, &n.Misnamed,
+	}
 }
 
 // Learned is what the module has learned: who is down, limits, ramps, budgets, sending times.
 func (c *Core) Learned() ([]byte, error) {
 	c.mu.Lock()
-	l := c.router.Learned()
-	text, err := cbor.Marshal(learned{learnedRevision, c.classes, l}) // under the lock: its slices are the module's
+	l := learned{learnedRevision, c.classes, c.router.Learned(), nil}
+	for _, n := range c.Counters.rising() {
+		l.Counted = append(l.Counted, n.Load())
+	}
+	text, err := cbor.Marshal(l) // under the lock: its slices are the module's
 	c.mu.Unlock()
 	return text, err
 }
@@ -45,6 +58,9 @@
 		return err
 	}
 	c.router.Inherit(l.Learned)
+	for i, n := range c.Counters.rising() {
+		n.Add(l.Counted[i])
+	}
 	return nil
 }
 
@@ -59,7 +75,12 @@
 // usable holds what another process tells to what a module can have learned by now. Guards against a number that no
 // arithmetic recovers from, and against a time to come, at which a server would be judged anew.
 func usable(l learned, classes []string, now policy.Time) error {
-	if len(l.Classes) != len(classes) || len(l.Learned.MeanSend) != len(classes) || len(l.Learned.MeanTook) != len(classes) {
+	for _, n := range l.Counted {
+		if n < 0 {
+			return errLearned
+		}
+	}
+	if len(l.Counted) != len((&Counters{}).rising()) || len(l.Classes) != len(classes) || len(l.Learned.MeanSend) != len(classes) || len(l.Learned.MeanTook) != len(classes) {
 		return errLearned
 	}
 	for i, c := range classes {
