Clients' connections end in order: shut, read to the end, closed, each in one place

Need: a close over unread bytes resets the connection, and a request that crosses it looks lost. Read in the code and forced by tests: evictions, the ends for silence and half frames, and redcon's close of what it holds (as the listener closes) closed at once; a reader that found its connection left closed it under the drain that had just shut it; the process ended as soon as no answer was owed, so that what came on resting connections by then was reset unread. Out of descriptors, redcon asks for the next connection again at once, on the one core that those need who could give some back.

Change: a connection has one stage (serving, leaving, closed), end shuts its side and shut alone closes the socket; what comes on one that leaves is read to the client's end, for 1 s at the most, and not lived; those that leave hold one in eight places beyond the front's. redcon's close does not touch a connection whose first frame has come. A failed accept waits 10 ms. A process told to end, alone, ends connections at rest from 0.8 s on and waits for the last, as a paused one does.

Measured: TestRequestCrossesTheEnd and TestAcceptOutOfDescriptors fail on the code before (connection reset; asked again while the clock stands). TestEndingConnectionsAreBounded catches an end without the bound, TestClientThatDoesNotEnd one without the 1 s.

--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -24,8 +24,6 @@
 )
 
 const (
-	// stopGrace: after SIGTERM new connections keep coming for 0.4 s, and requests on open ones for 0.2 s more, in ms.
-	stopGrace = 800
 	// killAfter: SIGKILL comes no sooner than the longest deadline and so many ms after SIGTERM. stopMargin before that
 	// the program ends of itself; idleEvery it looks whether anything is still owed.
 	killAfter, stopMargin, idleEvery = 700, 100, 10
@@ -162,22 +160,21 @@
 	return nil
 }
 
-// drain lets what is still on its way in come, then answers what is open. told has the front do so; where another
-// process has the clients by then, nothing is on its way here but what clients ask on connections that they hold.
+// drain lets what is still on its way in come, then answers what is open and ends the connections. told has the front do so;
+// where another process has the clients by then, nothing is on its way here but what clients ask on connections that they
+// hold. It waits for connections, and not for answers alone: a request that came between the last answer and the exit of the
+// process was reset, unread.
 func drain(clk *clock.Clock, front *resp.Front, conf *config.Config, stopOperator func(context.Context), told func() (passed bool)) {
 	end := clk.Now() + clock.Ms(longest(conf)) + killAfter - stopMargin
-	owed := func() bool { return !front.Idle() }
-	if told() {
-		owed = func() bool { return front.Held() > 0 }
-	} else {
-		pause(clk, stopGrace)
+	if !told() {
+		pause(clk, desk.StopAfter)
 		_ = front.Close()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer clk.After(end-clk.Now(), cancel)()
 	stopOperator(ctx)
-	for owed() && clk.Now() < end {
+	for front.Held() > 0 && clk.Now() < end {
 		pause(clk, idleEvery)
 	}
 }
--- a/cmd/ravenwheel/stop_test.go
+++ b/cmd/ravenwheel/stop_test.go
@@ -12,6 +12,7 @@
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/desk"
 	"ravenwheel/internal/front/resp"
 	"ravenwheel/internal/invariant"
 	"ravenwheel/internal/lab/fleet"
@@ -38,10 +39,15 @@
 	front := resp.New(ln, 100, p.Clock, p.Core)
 	go func() { _ = front.Serve() }()
 	began := p.Clock.Now()
+	conf := &config.Config{Settings: scenario.Settings()}
+	d := desk.New(desk.Options{Clock: p.Clock, Conns: 100, AnswerWithin: killed(conf), Stop: func() {}})
+	d.Serve(front, nil, nil)
+	d.Owns(true)
+	d.Accept(true)
 	ended := make(chan struct{})
 	operatorStopped := false
 	go func() {
-		drain(p.Clock, front, &config.Config{Settings: scenario.Settings()}, func(context.Context) { operatorStopped = true }, func() bool { return false })
+		drain(p.Clock, front, conf, func(context.Context) { operatorStopped = true }, d.Stop)
 		close(ended)
 	}()
 	var clients []*scenario.Client
@@ -71,7 +77,7 @@
 			return false
 		}
 	}, time.Minute, time.Millisecond)
-	require.GreaterOrEqual(t, p.Clock.Now(), began+stopGrace)
+	require.GreaterOrEqual(t, p.Clock.Now(), began+desk.StopAfter)
 	require.Less(t, p.Clock.Now(), began+5000+killAfter, "before SIGKILL")
 	require.True(t, operatorStopped)
 	for c, n := range asked {
--- a/internal/decide/drain/drain.go
+++ b/internal/decide/drain/drain.go
@@ -4,13 +4,16 @@
 //
 // Whoever sends clients here asks ten times a second, and stops 0.2 s after a no; clients go on using what they hold. So
 // a connection that is owed nothing ends from FrontAfter on; one that is never at rest gets its new requests refused from
-// RefuseAfter on, which harms nobody and lets it come to rest.
+// RefuseAfter on, which harms nobody and lets it come to rest. A proxy that was told to end, with nobody to take over, does
+// the same from StopAfter on: what is still open when a process ends is reset, with whatever nobody has read there.
 package drain
 
 // Settings are in ms from the call that empties.
 type Settings struct {
 	// FrontAfter: until then new connections come, and one that was closed would come back at once.
 	FrontAfter float64
+	// StopAfter: told to end, it is sent new connections until then, and requests on those that stand.
+	StopAfter float64
 	// RefuseAfter: no request that comes later is sent on. Later serves more, and leaves less time to end within.
 	RefuseAfter float64
 	// AnswerWithin: a proxy that was told to end is killed so long after, whatever it owes by then.
@@ -118,8 +121,10 @@
 		return Plan{On: true, CloseFrom: s.since + s.set.FrontAfter, RefuseFrom: s.since + s.set.RefuseAfter}
 	case s.phase == Yielding, s.phase == Stopping && successor: // new connections go to the successor at once
 		return Plan{On: true, CloseFrom: s.since, RefuseFrom: s.since + s.set.RefuseAfter, Until: s.until}
+	case s.phase == Stopping:
+		return Plan{On: true, CloseFrom: s.since + s.set.StopAfter, RefuseFrom: s.since + s.set.RefuseAfter, Until: s.until}
 	}
-	return Plan{Until: s.until} // one that ends alone hears out what is on its way, see serve
+	return Plan{}
 }
 
 // Conn is what is known of a connection.
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -14,8 +14,9 @@
 	"ravenwheel/policy"
 )
 
-// frontAfter, refuseAfter in ms: whoever sends clients asks ten times a second and stops 0.2 s after a no; after 2 s none may come any more.
-const frontAfter, refuseAfter = 350, 1600
+// In ms. frontAfter, refuseAfter: whoever sends clients asks ten times a second and stops 0.2 s after a no; after 2 s none may
+// come any more. StopAfter: after SIGTERM new connections keep coming for 0.4 s, and requests on open ones for 0.2 s more.
+const frontAfter, StopAfter, refuseAfter = 350, 800, 1600
 
 // Front is the clients' front, as far as it is told.
 type Front interface {
@@ -58,7 +59,7 @@
 
 // New returns the desk of a proxy that has just started.
 func New(o Options) *Desk {
-	set := drain.Settings{FrontAfter: frontAfter, RefuseAfter: refuseAfter, AnswerWithin: o.AnswerWithin}
+	set := drain.Settings{FrontAfter: frontAfter, StopAfter: StopAfter, RefuseAfter: refuseAfter, AnswerWithin: o.AnswerWithin}
 	return &Desk{opt: o, state: drain.New(set)}
 }
 
--- /dev/null
+++ b/internal/front/resp/ends_test.go
@@ -0,0 +1,201 @@
+package resp_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/decide/drain"
+	"ravenwheel/internal/front/resp"
+	frames "ravenwheel/internal/resp"
+	"ravenwheel/internal/scenario"
+)
+
+// gated accepts connections whose bytes stay unread, once the gate is shut, until it is opened again.
+type gated struct {
+	*net.TCPListener
+	mu     sync.RWMutex
+	taken  atomic.Int64 // bytes
+	wanted atomic.Int64 // of them, when more were last asked for
+}
+
+type gatedConn struct {
+	*net.TCPConn
+	by *gated
+}
+
+func (g *gated) Accept() (net.Conn, error) {
+	nc, err := g.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return gatedConn{nc, g}, nil
+}
+
+// Read waits at the gate before it reads, and never takes bytes that came while the gate was shut.
+func (c gatedConn) Read(p []byte) (int, error) {
+	c.by.wanted.Store(c.by.taken.Load())
+	for {
+		c.by.mu.RLock()
+		_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+		n, err := c.TCPConn.Read(p)
+		c.by.mu.RUnlock()
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			continue
+		}
+		c.by.taken.Add(int64(n))
+		return n, err
+	}
+}
+
+// In each case a request reaches a resting connection in the instant in which the front ends it, and is unread by then. It
+// is not sent on, and its client sees a proper end and no reset, which would also throw away what it has not taken yet.
+func TestRequestCrossesTheEnd(t *testing.T) {
+	const rests = "*2\r\n$10\r\nRPC.HEALTH\r\n$1\r\n1\r\n"
+	for name, end := range map[string]func(t *testing.T, p *scenario.Proxy, f *resp.Front){
+		"a place is needed": func(t *testing.T, p *scenario.Proxy, f *resp.Front) {
+			nc, err := net.Dial("tcp", f.Addr())
+			require.NoError(t, err)
+			t.Cleanup(func() { nc.Close() })
+		},
+		"half a frame, for too long": func(t *testing.T, p *scenario.Proxy, _ *resp.Front) { p.Clock.Advance(1750) },
+		"the proxy is emptied and the last request refused": func(t *testing.T, p *scenario.Proxy, f *resp.Front) {
+			f.Empty(drain.Plan{On: true})
+			p.Clock.Advance(20)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := scenario.NewProxy(t)
+			ln, err := net.Listen("tcp", scenario.Loopback())
+			require.NoError(t, err)
+			gate := &gated{TCPListener: ln.(*net.TCPListener)}
+			f := resp.New(gate, 1, p.Clock, p.Core)
+			go func() { _ = f.Serve() }()
+			defer f.Close()
+			nc, err := net.Dial("tcp", f.Addr())
+			require.NoError(t, err)
+			defer nc.Close()
+			_, err = io.WriteString(nc, rests)
+			require.NoError(t, err)
+			answer := make([]byte, 64)
+			n, err := nc.Read(answer)
+			require.NoError(t, err)
+			require.Contains(t, string(answer[:n]), "yes")
+			require.Eventually(t, f.Idle, time.Minute, time.Millisecond)
+			begins := strings.HasPrefix(name, "half")
+			call := frames.Append(nil, strings.Fields(asset)...)
+			if begins {
+				_, err = nc.Write(call[:9])
+				require.NoError(t, err)
+				require.Eventually(t, func() bool { return gate.wanted.Load() == int64(len(rests)+9) }, time.Minute, time.Millisecond)
+			}
+			gate.mu.Lock()
+			if !strings.HasPrefix(name, "the proxy") { // there a byte that has come keeps the connection
+				_, err = nc.Write(call)
+				require.NoError(t, err)
+			}
+			ended := make(chan struct{})
+			go func() { end(t, p, f); close(ended) }()
+			read := make([]byte, 1)
+			_, err = nc.Read(read)
+			require.ErrorIs(t, err, io.EOF, "our side is shut, not reset")
+			<-ended
+			_, err = nc.Write(call)
+			require.NoError(t, err)
+			gate.mu.Unlock()
+			require.Eventually(t, func() bool { return gate.taken.Load() >= int64(len(rests)+len(call)) }, time.Minute, time.Millisecond)
+			_, err = nc.Write(call) // would meet a socket that is gone
+			require.NoError(t, err)
+			require.NoError(t, nc.(*net.TCPConn).CloseWrite())
+			_, err = nc.Read(read)
+			require.ErrorIs(t, err, io.EOF)
+			require.Eventually(t, func() bool { return f.Held() <= 1 }, time.Minute, time.Millisecond)
+			require.Zero(t, p.Core.Counters.Attempts.Load())
+			require.Zero(t, p.Core.Counters.Served.Load())
+		})
+	}
+}
+
+// A client that was told that its connection ends, and goes on sending, is cut off after a while: none holds a place for good.
+func TestClientThatDoesNotEnd(t *testing.T) {
+	p, f, actors := emptied(t, "stays")
+	scenario.Run(t, p.Clock, actors, `
+		stays send RPC.HEALTH 1
+		stays expect 1 yes`)
+	require.Eventually(t, f.Idle, time.Minute, time.Millisecond)
+	f.Empty(drain.Plan{On: true})
+	p.Clock.Advance(20)
+	scenario.Run(t, p.Clock, actors, `
+		stays expect closed
+		stays send RPC.HEALTH 2`)
+	require.Equal(t, 1, f.Held())
+	require.Eventually(t, func() bool { p.Clock.Advance(100); return f.Held() == 0 }, time.Minute, time.Millisecond)
+}
+
+// A flood of connections that are told to end and do not: beyond the front's places they hold one in eight more.
+func TestEndingConnectionsAreBounded(t *testing.T) {
+	const most = 16
+	p := scenario.NewProxy(t)
+	ln, err := net.Listen("tcp", scenario.Loopback())
+	require.NoError(t, err)
+	f := resp.New(ln, most, p.Clock, p.Core)
+	go func() { _ = f.Serve() }()
+	defer f.Close()
+	for i := range 10 * most {
+		c := scenario.Dial(t, f.Addr())
+		require.NoError(t, c.Send([]string{"RPC.HEALTH", "1"}))
+		words, err := c.Receive()
+		require.NoError(t, err, i)
+		require.Equal(t, []string{"1", "yes"}, words, "a proper client gets in")
+		require.Eventually(t, func() bool { return f.Idle() && f.Held() <= most+1+most/8 }, time.Minute, time.Millisecond)
+	}
+}
+
+// broke is a listener that is out of descriptors for a while.
+type broke struct {
+	net.Listener
+	out    atomic.Bool
+	failed atomic.Int32
+}
+
+func (b *broke) Accept() (net.Conn, error) {
+	if b.out.Load() {
+		b.failed.Add(1)
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return b.Listener.Accept()
+}
+
+// Out of descriptors, accepting waits for some to come back. It once asked again at once, and took the core that those who
+// could give some back needed.
+func TestAcceptOutOfDescriptors(t *testing.T) {
+	p := scenario.NewProxy(t)
+	ln, err := net.Listen("tcp", scenario.Loopback())
+	require.NoError(t, err)
+	b := &broke{Listener: ln}
+	b.out.Store(true)
+	f := resp.New(b, 10, p.Clock, p.Core)
+	go func() { _ = f.Serve() }()
+	defer f.Close()
+	c := scenario.Dial(t, f.Addr())
+	require.NoError(t, c.Send([]string{"RPC.HEALTH", "1"}))
+	for moved := range 6 {
+		for range 50 {
+			time.Sleep(50 * time.Microsecond)
+			require.LessOrEqual(t, int(b.failed.Load()), moved+1, "asked again while the clock stands")
+		}
+		p.Clock.Advance(10)
+	}
+	b.out.Store(false)
+	require.Eventually(t, func() bool { p.Clock.Advance(10); return f.Held() == 1 }, time.Minute, time.Millisecond)
+	words, err := c.Receive()
+	require.NoError(t, err)
+	require.Equal(t, []string{"1", "yes"}, words)
+}
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"maps"
 	"net"
 	"os"
@@ -46,9 +47,13 @@
 	// silentFor: a connection that has sent nothing, or no more than half a frame, for so many ms is closed.
 	silentFor, sweepEvery = 1500, 250
 	// emptyEvery: so often it is looked, while the proxy is emptied, which connections are at rest, in ms. lingerFor: a
-	// client that was told that its connection ends, and does not end it, has that long.
-	emptyEvery = 10
-	lingerFor  = 1000
+	// client that was told that its connection ends, and does not end it, has that long. leavingShare: one in so many
+	// places may be held by such beyond those that are served.
+	emptyEvery   = 10
+	lingerFor    = 1000
+	leavingShare = 8
+	// acceptPause: after an accept that failed, out of descriptors say, the next one waits so long.
+	acceptPause = 10
 	// newFor: one that is silent for so many ms is no client on the point of asking.
 	newFor = 100
 	// writeWait: a client that takes nothing for so long has given up all that it waited for.
@@ -66,9 +71,10 @@
 	srv   *redcon.Server
 	ln    net.Listener
 
-	mu     sync.Mutex
-	conns  map[*guard]struct{}
-	halted chan struct{} // closed once connections are accepted again; nil: they are
+	mu      sync.Mutex
+	conns   map[*guard]struct{}
+	leaving []*guard      // those of them that end, the longest first
+	halted  chan struct{} // closed once connections are accepted again; nil: they are
 }
 
 // New returns a front on ln that holds at most so many connections.
@@ -158,8 +164,8 @@
 
 // rest ends a connection if the plan says so. Called under the front's lock.
 func (f *Front) rest(g *guard, now float64, p *drain.Plan) {
-	if !g.left && p.Ends(now, g.facts(now)) && g.leave() {
-		go g.finish()
+	if g.stage == serving && p.Ends(now, g.facts(now)) && g.leave() {
+		f.end(g)
 	}
 }
 
@@ -167,13 +173,12 @@
 // that asks again at once, for seconds: it is never found at rest between.
 func (f *Front) answered(c *client) {
 	p, now := f.plan.Load(), f.clock.Now()
-	g, ok := c.nc.(*guard)
-	if !ok || p.Hears(now) {
+	if p.Hears(now) {
 		return
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.rest(g, now, p)
+	f.rest(c.nc, now, p)
 }
 
 // sweep ends the connections that have said nothing, or half of a frame, for too long.
@@ -183,7 +188,7 @@
 	defer f.mu.Unlock()
 	for g := range f.conns {
 		if (!g.asked || g.half) && f.clock.Now()-g.since >= silentFor && g.leave() {
-			f.end(g)
+			f.dismiss(g)
 		}
 	}
 }
@@ -195,7 +200,7 @@
 	g.buf.Most, g.buf.Keep = resp.MostAsked, keepIn
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.conns) >= int(f.most.Load()) && !f.shed() {
+	if len(f.conns)-len(f.leaving) >= int(f.most.Load()) && !f.shed() {
 		return nil, false
 	}
 	f.conns[g] = struct{}{}
@@ -219,20 +224,36 @@
 	})
 	for _, g := range order {
 		if g.leave() {
-			delete(f.conns, g)
-			f.end(g)
+			f.dismiss(g)
 			return true
 		}
 	}
 	return false
 }
 
-// end closes a connection that was left.
-func (f *Front) end(g *guard) {
+// dismiss ends a connection that was left for want of a request or of a place. Called under the front's lock.
+func (f *Front) dismiss(g *guard) {
 	if !g.asked {
 		f.core.Unanswered()
 	}
-	go g.Close()
+	f.end(g)
+}
+
+// end tells a client that its connection, which was left, ends: its own end is waited for while what it still sends is
+// read and dropped. Guards against a close over unread bytes, which resets the connection: what a slow reader has not
+// taken yet would be thrown away, and a request that crosses the close would look lost. Called under the front's lock.
+func (f *Front) end(g *guard) {
+	f.leaving = append(f.leaving, g)
+	if len(f.leaving) > 1+int(f.most.Load())/leavingShare {
+		go f.leaving[0].shut() // it has had the longest to end by itself
+	}
+	go func() {
+		if half, ok := g.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+			f.clock.After(lingerFor, g.shut)
+			return
+		}
+		g.shut()
+	}()
 }
 
 // Idle tells whether nothing is owed to any client.
@@ -240,7 +261,12 @@
 
 // first takes a connection over from redcon, whose own loop would answer in order.
 func (f *Front) first(rc redcon.Conn, cmd redcon.Command) {
-	go f.live(rc.Detach(), cmd)
+	g := rc.NetConn().(*guard)
+	c := &client{front: f, nc: g, open: map[string]context.CancelFunc{}, wake: make(chan struct{}, 1)}
+	f.mu.Lock()
+	g.client = c
+	f.mu.Unlock()
+	go c.live(rc.Detach(), cmd)
 }
 
 // guarded accepts connections whose reads are checked, and no more of them than the front may hold.
@@ -258,6 +284,14 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue
 		}
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			// Guards against redcon, which asks again at once: out of descriptors it would take the whole core, and what is
+			// open could not end and give some back.
+			over := make(chan struct{})
+			g.front.clock.After(acceptPause, func() { close(over) })
+			<-over
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -278,34 +312,83 @@
 	rest  []byte
 
 	// Under the front's lock.
-	client *client
+	client *client // nil: it has not asked yet
+	stage  stage
+	read   bool    // reading has ended
 	asked  bool    // a whole frame has come
 	half   bool    // the next one has begun
-	left   bool    // it is to end: nothing more is read
 	since  float64 // when it was accepted, when its last frame was whole, or when the next one began
 }
 
+// stage is where a client's connection stands. It goes one way.
+type stage int
+
+const (
+	serving stage = iota
+	leaving       // our side is shut, or about to be: what comes is read to the end and dropped
+	closed
+)
+
+// Close is redcon's, which has the connection until its first frame is whole. Once it serves at all it closes what it holds
+// as it ends, and a connection whose first frame has just come may be among that: its request is lived and answered.
 func (g *guard) Close() error {
 	g.front.mu.Lock()
+	defer g.front.mu.Unlock()
+	switch {
+	case g.asked:
+	case g.read:
+		go g.shut()
+	case g.leave():
+		g.front.dismiss(g)
+	}
+	return nil
+}
+
+// shut is the one place that closes the socket.
+func (g *guard) shut() {
+	g.front.mu.Lock()
+	was := g.stage
+	g.stage = closed
 	delete(g.front.conns, g)
+	g.front.leaving = slices.DeleteFunc(g.front.leaving, func(o *guard) bool { return o == g })
 	g.front.mu.Unlock()
-	return g.Conn.Close()
+	if was != closed {
+		g.Conn.Close()
+	}
 }
 
+// Read hands on one whole frame after another, until the connection is to end: then it reads to the client's own end.
 func (g *guard) Read(p []byte) (n int, err error) {
 	if len(g.rest) == 0 {
-		if _, g.rest, err = g.buf.Next(halves{g}); err != nil {
-			return 0, err
-		}
-		if !g.mark(false) {
-			return 0, net.ErrClosed
+		if _, g.rest, err = g.buf.Next(halves{g}); err == nil && !g.mark(false) {
+			err = net.ErrClosed
 		}
 	}
+	if err != nil {
+		g.finish()
+		return 0, err
+	}
 	n = copy(p, g.rest)
 	g.rest = g.rest[n:]
 	return n, nil
 }
 
+// finish is the end of reading: of a connection that is left, nothing may stay unread.
+func (g *guard) finish() {
+	g.front.mu.Lock()
+	dropping := g.stage == leaving
+	g.front.mu.Unlock()
+	if dropping {
+		_, _ = io.Copy(io.Discard, onlyRead{g.Conn})
+	}
+	g.front.mu.Lock()
+	g.read = true
+	g.front.mu.Unlock()
+}
+
+// onlyRead hides what else a connection can do: to be read from by splice is refused on the larger fleet's platform.
+type onlyRead struct{ io.Reader }
+
 // halves reads for the guard's buffer, and notes that half a frame has come whenever more is waited for.
 type halves struct{ g *guard }
 
@@ -324,23 +407,28 @@
 	if !half || g.asked && !g.half { // the first frame has its time from the accept on, however it trickles
 		g.since = g.front.clock.Now()
 	}
+	if g.stage != serving {
+		return false // what comes now was not asked of a proxy that would answer it
+	}
 	g.half, g.asked = half, g.asked || !half
-	return !g.left
+	return true
 }
 
 // leave decides that a connection ends, unless its client is owed an answer. Guards against a request that
 // comes between the decision and the close: an attempt would be sent for it, and its answer lost.
 func (g *guard) leave() bool {
-	if g.client == nil {
-		g.left = !g.asked // else its first frame is on the way to a client yet to be made
-		return g.left
-	}
-	g.client.mu.Lock()
-	defer g.client.mu.Unlock()
-	if len(g.client.open) > 0 || len(g.client.out) > 0 {
+	if g.stage != serving || g.client == nil && g.asked { // its first frame is on the way to a client yet to be made
 		return false
 	}
-	g.left, g.client.closed = true, true
+	if g.client != nil {
+		g.client.mu.Lock()
+		defer g.client.mu.Unlock()
+		if len(g.client.open) > 0 || len(g.client.out) > 0 {
+			return false
+		}
+		g.client.closed = true
+	}
+	g.stage = leaving
 	return true
 }
 
@@ -372,20 +460,10 @@
 	return some
 }
 
-// finish tells a client that its connection ends, and ends it once the client has. Guards against a close that throws
-// away what a slow reader has not taken yet.
-func (g *guard) finish() {
-	if tcp, ok := g.Conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
-		g.front.clock.After(lingerFor, func() { g.Close() })
-		return
-	}
-	g.Close()
-}
-
 // client is one connection. Its writer sends what answers have put into the one out buffer.
 type client struct {
 	front *Front
-	nc    net.Conn
+	nc    *guard
 
 	mu     sync.Mutex
 	out    []byte
@@ -395,11 +473,7 @@
 }
 
 // live reads a connection's commands until it ends, which gives up all that is open on it.
-func (f *Front) live(dc redcon.DetachedConn, cmd redcon.Command) {
-	c := &client{front: f, nc: dc.NetConn(), open: map[string]context.CancelFunc{}, wake: make(chan struct{}, 1)}
-	f.mu.Lock()
-	dc.NetConn().(*guard).client = c
-	f.mu.Unlock()
+func (c *client) live(dc redcon.DetachedConn, cmd redcon.Command) {
 	ctx, leave := context.WithCancel(context.Background())
 	go c.write()
 	err := error(nil)
@@ -409,6 +483,7 @@
 		}
 	}
 	leave()
+	c.nc.finish()
 	c.close()
 }
 
@@ -503,7 +578,7 @@
 	}
 	before := len(c.out)
 	if before > mostOut {
-		go c.nc.Close() // reads nothing: the reader sees the end
+		go c.nc.shut() // reads nothing: the reader sees the end
 		return
 	}
 	c.out = add(c.out)
@@ -522,7 +597,7 @@
 		for len(b) > 0 {
 			_ = c.nc.SetWriteDeadline(time.Now().Add(writeWait))
 			if _, err := c.nc.Write(b); err != nil {
-				c.nc.Close()
+				c.nc.shut()
 				return
 			}
 			// Compacted in place: what came meanwhile moves to the front.
@@ -550,5 +625,5 @@
 	c.out = nil
 	close(c.wake)
 	c.mu.Unlock()
-	c.nc.Close()
+	c.nc.shut()
 }
