An attempt's first byte is looked at where it goes out; no id twice on a connection

Need: a request whose client left, or whose decision had become too old, was looked at when its frame was put into a batch; a connection that took nothing for a while wrote the batch all the same when it took bytes again (collect and run). An attempt that was decided on in the instant in which the client left was made or not by chance, and where it was not, the module had it out until a minute after the deadline (core.Do's select, and close, which knew only of what had been sent). A second answer some milliseconds late was taken for the answer to the retry on the same connection: a write that was running was taken for refused (take and answer kept an id apart only while an answer was owed). An answer whose bytes keep coming was never given up. A new connection that came up too late marked its server as one that can't be reached, though it answered on others.

Change: frames go out by non-blocking writes under the connection's lock, with the queue looked at before each; what waits on a blocked connection moves on as soon as its decision is too old. A connection carries an id once in a request's life. An answer not whole 3 s after its first byte ends its connection. A dial that runs out of time blames nobody where the server has answered since it began. core.close ends everything: it reads what the request was told and did not heed.

TestNotWritten and TestConnectionsGoByLoad were changed: the first cut writes at the connection, which the writer does not go through any more, and cuts at the system call now, with a second call behind the first; the second sent one id fifty times, which no client does, and sends fifty.

--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -93,6 +93,7 @@
 	}
 	up := upstream.New(clk, upstream.Limits{
 		PerConn: conf.StreamsPerConn, Conns: min(mostConns, max(leastConns, conf.Sockets/connShare)), Connect: conf.Connect, Idle: conf.ConnIdle,
+		Life: clock.Ms(longest(conf)),
 	})
 	c, err := core.New(conf.Settings, conf.Classes, conf.MostHeld, conf.Seed, clk, up)
 	if err != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -131,6 +131,7 @@
 type life struct {
 	q        Request
 	in       chan any // policy.Action or ended, in the order in which they came
+	unread   any      // taken from in and not heeded
 	attempts []*attempt
 	verdict  Verdict
 	sent     bool // an attempt was written to a cache server
@@ -234,38 +235,43 @@
 		Group: q.Group, SizeKB: q.SizeKB, Repeat: q.Repeat, Write: c.set.Classes[q.Class].Uncached,
 	})
 	for {
+		var e any
 		select {
 		case <-ctx.Done():
+		case e = <-l.in:
+		}
+		// Looked at again: with both there, an attempt would begin for a client that has left.
+		if ctx.Err() != nil {
+			l.unread = e
 			c.tell(policy.ClientLeft{ID: q.ID})
 			return c.final(l, Answer{Verdict: Gone})
-		case e := <-l.in:
-			switch x := e.(type) {
-			case policy.Ask:
-				c.send(l, policy.Get{ID: x.ID, Cache: x.Cache, Source: x.Cache, Timeout: x.Timeout})
-			case policy.Get:
-				c.send(l, x)
-			case policy.Cancel:
-				if a := l.at(x.Attempt); a != nil && a.open {
-					c.outcome(l, ended{x.Attempt, End{Result: policy.Cancelled, Sent: a.abort()}})
-				}
-			case policy.Refuse:
-				return c.final(l, Answer{Verdict: Refused, Backoff: clock.Ms(x.RetryAfter)})
-			case policy.Fail:
-				return c.final(l, Answer{Verdict: Failed})
-			case ended:
-				if a := l.at(x.no); a == nil || !a.open {
-					break // called off before its end was read
-				}
-				// Guards against an answer that calls another copy current, or any where the client has none: the
-				// client would keep what no cache server has vouched for.
-				if x.Same && (l.q.Holds == "" || x.Tag != l.q.Holds) {
-					c.Counters.Misnamed.Add(1)
-					x.End = End{Result: policy.Failed, Sent: true}
-				}
-				c.outcome(l, x)
-				if x.Result == policy.OK {
-					return c.final(l, Answer{Verdict: Served, Body: x.Body, Tag: x.Tag, Same: x.Same})
-				}
+		}
+		switch x := e.(type) {
+		case policy.Ask:
+			c.send(l, policy.Get{ID: x.ID, Cache: x.Cache, Source: x.Cache, Timeout: x.Timeout})
+		case policy.Get:
+			c.send(l, x)
+		case policy.Cancel:
+			if a := l.at(x.Attempt); a != nil && a.open {
+				c.outcome(l, ended{x.Attempt, End{Result: policy.Cancelled, Sent: a.abort()}})
+			}
+		case policy.Refuse:
+			return c.final(l, Answer{Verdict: Refused, Backoff: clock.Ms(x.RetryAfter)})
+		case policy.Fail:
+			return c.final(l, Answer{Verdict: Failed})
+		case ended:
+			if a := l.at(x.no); a == nil || !a.open {
+				break // called off before its end was read
+			}
+			// Guards against an answer that calls another copy current, or any where the client has none: the
+			// client would keep what no cache server has vouched for.
+			if x.Same && (l.q.Holds == "" || x.Tag != l.q.Holds) {
+				c.Counters.Misnamed.Add(1)
+				x.End = End{Result: policy.Failed, Sent: true}
+			}
+			c.outcome(l, x)
+			if x.Result == policy.OK {
+				return c.final(l, Answer{Verdict: Served, Body: x.Body, Tag: x.Tag, Same: x.Same})
 			}
 		}
 	}
@@ -299,9 +305,23 @@
 	return l, Answer{}
 }
 
-// close calls off what is still out and forgets the request. An attempt whose own time is up counts as
-// timed out: the module's deadline timer and the attempt's come at the same moment, in either order.
+// close is where a request ends: it calls off what is still out, tells the module of all that it does not know yet, and
+// forgets the request. An attempt whose own time is up counts as timed out: the module's deadline timer and the attempt's
+// come at the same moment, in either order. Guards against an attempt that was decided on as the client left, and never
+// sent: the module would have it out, and the place it takes, until a minute after the deadline.
 func (c *Core) close(l *life) {
+	for e := l.next(); e != nil; e = l.next() {
+		switch x := e.(type) {
+		case policy.Ask:
+			c.unsent(l, x.Cache)
+		case policy.Get:
+			c.unsent(l, x.Cache)
+		case ended:
+			if a := l.at(x.no); a != nil && a.open {
+				c.outcome(l, x)
+			}
+		}
+	}
 	for no, a := range l.attempts {
 		if !a.open {
 			continue
@@ -321,6 +341,30 @@
 	c.Counters.Open.Add(-1)
 }
 
+// next is what the request was told and has not heeded, in order; nil: no more.
+func (l *life) next() any {
+	if e := l.unread; e != nil {
+		l.unread = nil
+		return e
+	}
+	select {
+	case e := <-l.in:
+		return e
+	default:
+		return nil
+	}
+}
+
+// unsent ends an attempt that was decided on and will not be made.
+func (c *Core) unsent(l *life, to policy.CacheID) {
+	now := c.clock.Now()
+	l.attempts = append(l.attempts, &attempt{to: to, sent: now, until: now, open: true})
+	if c.Tally != nil {
+		c.Tally.sent(to)
+	}
+	c.outcome(l, ended{len(l.attempts) - 1, End{Result: policy.Moot}})
+}
+
 // atOnce: timers that are due within so many milliseconds of one another are due together.
 const atOnce = 5
 
--- /dev/null
+++ b/internal/core/leave_test.go
@@ -0,0 +1,111 @@
+package core_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/invariant"
+	"ravenwheel/internal/scenario"
+	"ravenwheel/policy"
+)
+
+// serves is an upstream that ends the first attempts as listed and answers the others at once, or never while it is silent.
+type serves struct {
+	list   []core.End
+	silent atomic.Bool
+	sent   atomic.Int64
+	aborts atomic.Int64
+}
+
+func (s *serves) Send(_ core.Attempt, end func(core.End)) func() bool {
+	switch n := int(s.sent.Add(1)); {
+	case n <= len(s.list):
+		go end(s.list[n-1])
+	case !s.silent.Load():
+		go end(core.End{Result: policy.OK, Note: policy.NoteHit, Sent: true})
+	}
+	return func() bool { s.aborts.Add(1); return true }
+}
+
+func (s *serves) Members([]core.Member, bool) {}
+
+func coreOver(t *testing.T, clk *clock.Clock, up core.Upstream) *core.Core {
+	c, err := core.New(scenario.Settings(), []string{"replay", "asset", "seat-claim"}, 0, 7, clk, up)
+	require.NoError(t, err)
+	list := make([]core.Member, 3)
+	for i, id := range []policy.CacheID{scenario.CacheID, scenario.ParentID, scenario.OriginID} {
+		list[i].ID, list[i].Kind, list[i].Weight = id, i, 10
+	}
+	c.Members(membership.Publish{Version: 1, Whole: true, Members: list})
+	return c
+}
+
+// A client that has left by the time its first attempt is decided on: none is made, and none stays booked. Either came by
+// chance before; what stayed booked took places at the server until a minute after the request's deadline.
+func TestLeftBeforeTheAttempt(t *testing.T) {
+	clk, up := clock.Manual(1e12), &serves{}
+	c := coreOver(t, clk, up)
+	gone, leave := context.WithCancel(context.Background())
+	leave()
+	for i := range 300 {
+		q := core.Request{ID: fmt.Sprint("left", i), Class: i % 3, Object: fmt.Sprint(i), Deadline: clk.Now() + 900}
+		require.Equal(t, core.Gone, c.Do(gone, q).Verdict)
+	}
+	require.Zero(t, up.sent.Load())
+	for i := range 8 {
+		q := core.Request{ID: fmt.Sprint("stays", i), Class: 1, Object: fmt.Sprint(i), Deadline: clk.Now() + 900}
+		require.Equal(t, core.Served, c.Do(context.Background(), q).Verdict, "the places are free")
+	}
+	require.Zero(t, invariant.Broken())
+}
+
+// A client leaves in each place in which its request can wait: for an answer, in the pause before a further attempt, and
+// for the answer to that. Nothing further is sent, however long the clock runs, and what was out is aborted once.
+func TestLeftWhileItWaits(t *testing.T) {
+	for name, wait := range map[string]struct {
+		ends         []core.End // of its attempts, at once; the next one never ends
+		pause        float64    // before it leaves, ms
+		sent, aborts int64
+	}{
+		"for an answer":                  {sent: 1, aborts: 1},
+		"in the pause before the second": {ends: []core.End{{Result: policy.Full, Note: policy.NoteNoPlace, Sent: true}}, sent: 1},
+		"for the answer after the pause": {ends: []core.End{{Result: policy.Full, Note: policy.NoteNoPlace, Sent: true}}, pause: 200, sent: 2, aborts: 1},
+		"for the second answer":          {ends: []core.End{{Result: policy.Failed, Sent: true}}, sent: 2, aborts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				clk, up := clock.Manual(1e12), &serves{list: wait.ends}
+				up.silent.Store(true)
+				c := coreOver(t, clk, up)
+				ctx, leave := context.WithCancel(context.Background())
+				over := make(chan core.Answer, 1)
+				go func() {
+					over <- c.Do(ctx, core.Request{ID: "q", Class: 1, Object: "o", Deadline: clk.Now() + 2000})
+				}()
+				synctest.Wait()
+				clk.Advance(wait.pause)
+				synctest.Wait()
+				require.Equal(t, wait.sent, up.sent.Load())
+				leave()
+				synctest.Wait()
+				require.Equal(t, core.Gone, (<-over).Verdict)
+				for range 400 {
+					clk.Advance(10)
+					synctest.Wait()
+				}
+				require.Equal(t, wait.sent, up.sent.Load(), "nothing is sent for one that has left")
+				require.Equal(t, wait.aborts, up.aborts.Load())
+				require.Zero(t, c.Counters.Open.Load())
+				require.Zero(t, invariant.Broken())
+			})
+		})
+	}
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -203,6 +203,7 @@
 	conns []net.Conn
 	last  net.Conn
 	by    map[string]net.Conn // where each id came
+	first map[string]net.Conn // and where it came first
 }
 
 // Loopback is an address of this process's own, with a port from the kernel. Guards against another run of these tests that
@@ -213,7 +214,7 @@
 func Listen(t *testing.T) *Server {
 	ln, err := net.Listen("tcp", Loopback())
 	require.NoError(t, err)
-	s := &Server{ln: ln, in: make(inbox, 100), by: map[string]net.Conn{}}
+	s := &Server{ln: ln, in: make(inbox, 100), by: map[string]net.Conn{}, first: map[string]net.Conn{}}
 	t.Cleanup(func() { _ = s.Close() })
 	go func() {
 		for {
@@ -251,8 +252,13 @@
 // Addr is where it listens.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
-// Send writes to where the id came that it begins with, else to where the last message came from.
+// Send writes to where the id came that it begins with, else to where the last message came from; with "at ID" before it, to
+// where that id came first.
 func (s *Server) Send(words []string) error {
+	if words[0] == "at" {
+		_, err := s.first[words[1]].Write(encode(words[2:]))
+		return err
+	}
 	to := s.last
 	if nc := s.by[words[0]]; nc != nil {
 		to = nc
@@ -267,6 +273,9 @@
 	s.last = m.from
 	if len(m.words) > 1 {
 		s.by[m.words[1]] = m.from
+		if s.first[m.words[1]] == nil {
+			s.first[m.words[1]] = m.from
+		}
 	}
 	return m.words, err
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -1,8 +1,10 @@
 package upstream
 
 import (
+	"cmp"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -27,8 +29,7 @@
 
 	once    sync.Once
 	over    bool
-	written bool
-	until   int // where its frame ends in the bytes written with it
+	written bool // its first byte is out, and the rest follows; once its connection has broken: it went out whole
 	sent    float64
 }
 
@@ -48,14 +49,19 @@
 	alone bool // for calls that may not be repeated
 
 	mu      sync.Mutex
-	queue   []*call          // not written yet
+	queue   []*call          // of which no byte is out
 	aborts  []string         // ids whose abort is not written yet
+	out     []byte           // the one buffer for what is written
+	rest    []byte           // of out: what the socket has not taken of a frame that has begun
+	partly  *call            // whose frame that is; nil: an abort's, or none
 	open    map[string]*call // queued or written, not over
-	given   map[string]bool  // given up after they were written: an answer may still come
+	given   int              // given up after they were written, with no answer since
+	ids     idSet            // of the calls that it carried
 	nc      net.Conn
 	heard   float64 // when an answer came last
 	quiet   float64 // since when calls wait and none was answered
 	half    float64 // when bytes of an answer came last that is not whole; 0: it is
+	began   float64 // when the first of them came
 	watched bool    // a timer looks at half
 	used    float64 // when the connection last had a call
 	closed  bool    // takes nothing more
@@ -68,16 +74,16 @@
 const mostGiven = 256
 
 // quietFor: a connection on which calls wait for so many ms and none is answered is the last to get another.
-// stallFor: an answer of which no more comes for so many ms has stopped short.
-const quietFor, stallFor = 500, 300
+// stallFor: an answer of which no more comes for so many ms has stopped short. answerFor: one that is not whole so many ms
+// after its first byte never will be, however it trickles.
+const quietFor, stallFor, answerFor = 500, 300, 3000
 
 // writeWait: a connection that takes no bytes for so long is broken.
 const writeWait = 3 * time.Second
 
 func newConn(pl *pool, alone bool) *conn {
 	return &conn{
-		pool: pl, alone: alone, open: map[string]*call{}, given: map[string]bool{}, wake: make(chan struct{}, 1),
-		used: pl.all.clock.Now(),
+		pool: pl, alone: alone, open: map[string]*call{}, wake: make(chan struct{}, 1), used: pl.all.clock.Now(),
 	}
 }
 
@@ -99,16 +105,16 @@
 	return n, !k.closed
 }
 
-// take queues a call if this connection may carry it. One that still owes the answer to an earlier attempt
-// of the same request may not: the two answers could not be told apart.
+// take queues a call if this connection may carry it. One that carried an earlier attempt of the same request may not,
+// answered or not: a second answer to that one, some milliseconds late, would pass for the answer to this.
 func (k *conn) take(c *call) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.closed || len(k.open) >= k.pool.all.limits.Load().PerConn ||
-		k.given[c.id] || k.open[c.id] != nil {
+	l, now := k.pool.all.limits.Load(), k.pool.all.clock.Now()
+	if k.closed || len(k.open) >= l.PerConn || !k.ids.add(c.id, now, l.Life) {
 		return false
 	}
-	k.used = k.pool.all.clock.Now()
+	k.used = now
 	if len(k.open) == 0 {
 		k.quiet = k.used
 	}
@@ -132,8 +138,7 @@
 	result := policy.Moot
 	if c.written {
 		result = c.expired
-		k.given[c.id] = true
-		if len(k.given) >= mostGiven {
+		if k.given++; k.given >= mostGiven {
 			k.closed = true
 		}
 		k.aborts = append(k.aborts, c.id)
@@ -164,6 +169,21 @@
 // redials: how often a connection is tried again that was reset as it came up.
 const redials = 2
 
+// overdue ends a call whose decision has become too old before its first byte was out, as the connection takes nothing. One
+// that waits for a connection to come up learns by that whether the server can be reached.
+func (k *conn) overdue(c *call) {
+	k.mu.Lock()
+	late := !c.over && !c.written && k.nc != nil
+	if late {
+		c.over = true
+		delete(k.open, c.id)
+	}
+	k.mu.Unlock()
+	if late {
+		c.finish(core.End{Result: policy.Moot})
+	}
+}
+
 // dial brings the connection up. Guards against a peer that resets it while it is new: someone listens there,
 // and to call that a failed connection would take a sound cache server out.
 func (k *conn) dial() (nc net.Conn, err error) {
@@ -177,12 +197,19 @@
 }
 
 func (k *conn) run() {
+	began := k.pool.all.clock.Now()
 	nc, err := k.dial()
+	var raw syscall.RawConn
+	if err == nil {
+		raw, err = rawOf(nc)
+	}
 	if err != nil {
 		result := policy.ConnectFailed
-		// Guards against a cache server that holds few connections: with others of ours up, it is full of them, not
-		// gone. Taken as one that could not be reached, it was passed over for seconds and came back as cold.
-		if errors.Is(err, syscall.ECONNRESET) && k.pool.up() {
+		var late net.Error
+		// Guards against a cache server that holds few connections, or whose new ones come up late: with others of ours up,
+		// or answering meanwhile, it is there. Taken as one that could not be reached, it was passed over for seconds and
+		// came back as cold.
+		if errors.Is(err, syscall.ECONNRESET) && k.pool.up() || errors.As(err, &late) && late.Timeout() && k.pool.heardSince(began) {
 			result = policy.Moot
 		}
 		k.end(result, result)
@@ -194,19 +221,18 @@
 	go k.read(nc)
 	idle := k.pool.all.limits.Load().Idle
 	stop := func() {} // of the one idle timer
-	var out []byte
 	for range k.wake {
-		var batch, dead []*call
 		var done bool
-		if out, batch, dead, done = k.collect(out[:0]); len(out) > 0 {
-			_ = nc.SetWriteDeadline(time.Now().Add(writeWait))
-			if n, err := nc.Write(out); err != nil {
-				nc.Close()
-				k.unwritten(batch, n)
-			}
-		}
-		for _, c := range dead {
-			c.finish(core.End{Result: policy.Moot})
+		var failed error
+		err := raw.Write(func(fd uintptr) (all bool) {
+			_ = nc.SetWriteDeadline(time.Now().Add(writeWait)) // it has just taken something, or is about to
+			all, done, failed = k.push(int(fd))
+			return all
+		})
+		err = cmp.Or(err, failed)
+		if err != nil {
+			nc.Close() // the reader sees the end
+			done = k.failed()
 		}
 		stop()
 		if done {
@@ -221,51 +247,108 @@
 	}
 }
 
-// collect gathers what is to be written. It is called right before the write: a call whose decision has
-// become too old by now, while the connection came up or was blocked, is not written and never ran.
-func (k *conn) collect(out []byte) (_ []byte, batch, dead []*call, done bool) {
+// rawOf gives the socket of a connection that was dialled, which is not kept where it has none.
+func rawOf(nc net.Conn) (raw syscall.RawConn, err error) {
+	if sc, ok := nc.(syscall.Conn); ok {
+		if raw, err = sc.SyscallConn(); err == nil {
+			return raw, nil
+		}
+	}
+	nc.Close()
+	return nil, errors.Join(errors.New("upstream: a connection without a socket"), err)
+}
+
+// push writes what is due as far as the socket takes it now; all is false while it takes no more, and done tells that the
+// connection has ended. What is due is looked at in the very moment in which its first byte goes out, under the lock: a call
+// that was given up, or whose decision has become too old, while the connection came up or was blocked, is not written and
+// never ran.
+func (k *conn) push(fd int) (all, done bool, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.broken {
-		return out, nil, nil, true
-	}
-	now := k.pool.all.clock.Now()
-	for _, c := range k.queue {
+	for {
+		if k.broken {
+			return true, true, nil
+		}
+		now := k.pool.all.clock.Now()
+		k.drop(now)
+		k.out = append(k.out[:0], k.rest...)
+		ends := []int{len(k.out)}
+		for _, c := range k.queue {
+			k.out = append(k.out, c.frame...)
+			ends = append(ends, len(k.out))
+		}
+		for _, id := range k.aborts {
+			k.out = resp.Append(k.out, "abort", id)
+		}
+		if len(k.out) == 0 {
+			break
+		}
+		n, err := k.pool.all.limits.Load().Write(fd, k.out)
+		k.took(max(0, n), ends, now)
 		switch {
-		case c.over:
-		case c.sendBy > 0 && now > c.sendBy:
-			c.over = true
-			delete(k.open, c.id)
-			dead = append(dead, c)
-		default:
-			out = append(out, c.frame...)
-			c.written, c.sent, c.until = true, now, len(out)
-			batch = append(batch, c)
+		case err == syscall.EAGAIN: // and nothing else: whoever waits after a part was taken may not be told of more room
+			return false, false, nil
+		case err != nil && err != syscall.EINTR:
+			return true, false, err
 		}
-		c.frame = nil
-	}
-	for _, id := range k.aborts {
-		out = resp.Append(out, "abort", id)
 	}
-	k.queue, k.aborts = k.queue[:0], k.aborts[:0]
+	now := k.pool.all.clock.Now()
 	if len(k.open) > 0 {
 		k.used = now
 	} else if idle := k.pool.all.limits.Load().Idle; idle > 0 && now-k.used >= idle/2 {
 		k.closed = true // before the other side closes it under a new call
 	}
-	return out, batch, dead, k.closed && len(k.open) == 0
+	return true, k.closed && len(k.open) == 0, nil
 }
 
-// unwritten takes calls back of which the connection took no whole frame: they never ran. Guards against a write that
-// may not be repeated, given up as one that may have run though not a byte of it had left.
-func (k *conn) unwritten(batch []*call, taken int) {
+// drop takes from the queue what is not to be written any more.
+func (k *conn) drop(now float64) {
+	k.queue = slices.DeleteFunc(k.queue, func(c *call) bool {
+		if !c.over && c.sendBy > 0 && now > c.sendBy {
+			c.over = true
+			delete(k.open, c.id)
+			go c.finish(core.End{Result: policy.Moot})
+		}
+		return c.over
+	})
+}
+
+// took books the first n bytes of out as written: the rest of a frame up to the first of ends, a call's up to each next one,
+// and aborts behind them. Of what has begun the rest has to follow.
+func (k *conn) took(n int, ends []int, now float64) {
+	if n < ends[0] {
+		k.rest = k.out[n:ends[0]]
+		return
+	}
+	k.rest, k.partly = nil, nil
+	for i, c := range k.queue {
+		if n <= ends[i] {
+			k.queue = slices.Delete(k.queue, 0, i)
+			return
+		}
+		c.written, c.sent, c.frame = true, now, nil
+		if n < ends[i+1] {
+			k.rest, k.partly = k.out[n:ends[i+1]], c
+			k.queue = slices.Delete(k.queue, 0, i+1)
+			return
+		}
+	}
+	k.queue = k.queue[:0]
+	if last := ends[len(ends)-1]; n > last {
+		k.rest, k.aborts = k.out[n:], k.aborts[:0]
+	}
+}
+
+// failed books that nothing more can be written; done tells that the reader has seen the end. A call of which the connection
+// took no whole frame never ran. Guards against a write that may not be repeated, given up as one that may have run though not
+// all of it had left.
+func (k *conn) failed() (done bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for _, c := range batch {
-		if !c.over {
-			c.written = c.until <= taken
-		}
+	if k.closed = true; k.partly != nil && !k.partly.over {
+		k.partly.written = false
 	}
+	return k.broken
 }
 
 func (k *conn) read(nc net.Conn) {
@@ -304,7 +387,9 @@
 
 // begun notes that bytes have come that are no whole answer yet.
 func (k *conn) begun() {
-	k.half = k.pool.all.clock.Now()
+	if k.half = k.pool.all.clock.Now(); k.began == 0 {
+		k.began = k.half
+	}
 	if !k.watched {
 		k.watched = true
 		k.pool.all.clock.After(stallFor, k.stalled)
@@ -319,7 +404,7 @@
 		k.watched = false
 		return
 	}
-	if left := k.half + stallFor - k.pool.all.clock.Now(); left > 0 {
+	if left := min(k.half+stallFor, k.began+answerFor) - k.pool.all.clock.Now(); left > 0 {
 		k.pool.all.clock.After(left, k.stalled)
 		return
 	}
@@ -338,12 +423,11 @@
 		c.over = true
 		delete(k.open, id)
 	} else {
-		// Guards against passing on an answer to an attempt that was given up: dropped and counted.
-		delete(k.given, id)
+		// Guards against passing on an answer to an attempt that was given up, or a second one: dropped and counted.
 		k.pool.all.Late.Add(1)
 	}
 	now := k.pool.all.clock.Now()
-	k.heard, k.used, k.quiet, k.half = now, now, now, 0
+	k.heard, k.used, k.quiet, k.half, k.began = now, now, now, 0, 0
 	if more {
 		k.begun()
 	}
@@ -378,3 +462,23 @@
 		c.finish(core.End{Result: result})
 	}
 }
+
+// idSet remembers ids for as long as a request lives, and at most twice that.
+type idSet struct {
+	now, before map[string]struct{}
+	turned      float64
+}
+
+// add takes an id in; ok is false if it was there.
+func (s *idSet) add(id string, now, life float64) (ok bool) {
+	if s.now == nil || now-s.turned >= life {
+		s.now, s.before, s.turned = map[string]struct{}{}, s.now, now
+	}
+	_, new := s.now[id]
+	_, old := s.before[id]
+	if new || old {
+		return false
+	}
+	s.now[id] = struct{}{}
+	return true
+}
--- /dev/null
+++ b/internal/upstream/push_test.go
@@ -0,0 +1,127 @@
+package upstream
+
+import (
+	"fmt"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/resp"
+	"ravenwheel/policy"
+)
+
+// A socket takes any number of bytes at a time or none, while calls come, are given up and become too old. What arrives are
+// whole frames, each call's once at the most and each abort's behind its call's; none whose call ended before its first byte
+// was out, and all that are still open in the end; and who was told that its call never ran did not see it run.
+func TestPush(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clk := clock.Manual(0)
+		var wire []byte
+		room := 0
+		p := New(clk, Limits{PerConn: 100, Conns: 3, Write: func(_ int, b []byte) (int, error) {
+			n := min(room, len(b), rapid.IntRange(1, 40).Draw(t, "taken"))
+			if n == 0 {
+				return -1, syscall.EAGAIN
+			}
+			room -= n
+			wire = append(wire, b[:n]...)
+			return n, nil
+		}})
+		k := newConn(&pool{all: p}, false)
+		ended := make(chan string, 100)
+		calls := map[string]*call{}
+		begunAtEnd := map[string]bool{} // of those that ended: whether a byte was out
+		order := []string{}
+		frames := map[string]string{}
+		begun := func(c *call) bool {
+			f := frames[c.id]
+			for n := 1; n < len(f); n++ {
+				if strings.HasSuffix(string(wire), f[:n]) {
+					return true // in the middle of it, or of one that begins alike
+				}
+			}
+			return strings.Contains(string(wire), f)
+		}
+		written := map[string]bool{}
+		check := func() {
+			for _, c := range calls {
+				require.Equal(t, c.written && !c.over, c.written && k.open[c.id] == c)
+				if c.written && !written[c.id] {
+					written[c.id] = true
+					require.True(t, begun(c), "%s is booked, and no byte of it is out", c.id)
+					require.False(t, c.sendBy > 0 && clk.Now() > c.sendBy, "%s went out too late", c.id)
+				}
+				if !c.written {
+					require.NotContains(t, string(wire), frames[c.id], "%s went out, and is not booked", c.id)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				id := fmt.Sprint("call", len(calls))
+				c := &call{id: id, end: func(e core.End) { ended <- id }, expired: policy.TimedOut}
+				c.frame = frame(core.Attempt{ID: id, Class: "asset", Object: "o", TTL: 1000})
+				if rapid.Bool().Draw(t, "ages") {
+					c.sendBy = clk.Now() + 50
+				}
+				require.True(t, k.take(c))
+				calls[id], frames[id] = c, string(c.frame)
+				order = append(order, id)
+			case 2:
+				if len(order) == 0 {
+					continue
+				}
+				c := calls[rapid.SampledFrom(order).Draw(t, "left")]
+				if !c.over {
+					require.Equal(t, c.written, k.giveUp(c, false))
+					begunAtEnd[c.id] = c.written
+				}
+			case 3:
+				clk.Advance(rapid.Float64Range(0, 40).Draw(t, "ms"))
+			case 4:
+				room = rapid.IntRange(0, 300).Draw(t, "room")
+				_, done, err := k.push(0)
+				require.NoError(t, err)
+				require.False(t, done)
+			}
+			check()
+		}
+		room = 1 << 20
+		all, _, err := k.push(0)
+		require.NoError(t, err)
+		require.True(t, all)
+		check()
+		// What the server saw.
+		buf, src := resp.Buffer{Most: 1 << 20}, strings.NewReader(string(wire))
+		fetched, aborted := map[string]bool{}, map[string]bool{}
+		for src.Len()+buf.Held() > 0 {
+			parts, _, err := buf.Next(src)
+			require.NoError(t, err, "frames stay whole")
+			switch id := string(parts[1]); string(parts[0]) {
+			case "fetch":
+				require.False(t, fetched[id], "%s was sent twice", id)
+				fetched[id] = true
+			case "abort":
+				require.True(t, fetched[id], "an abort of what was never sent: %s", id)
+				aborted[id] = true
+			}
+		}
+		for id, c := range calls {
+			switch wasBegun, left := begunAtEnd[id]; {
+			case left:
+				require.Equal(t, wasBegun, fetched[id], "%s was given up", id)
+				require.Equal(t, wasBegun, aborted[id], id)
+			case c.over: // too old
+				require.False(t, fetched[id], "%s had become too old", id)
+			default:
+				require.True(t, fetched[id], "%s is open and was never sent", id)
+			}
+		}
+	})
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,11 +3,13 @@
 package upstream
 
 import (
+	"cmp"
 	"encoding/binary"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	iradix "github.com/hashicorp/go-immutable-radix/v2"
@@ -23,7 +25,9 @@
 	Conns   int                                                              // connections to one cache server
 	Connect float64                                                          // ms until a connection must be up
 	Idle    float64                                                          // ms after which the other side closes an idle connection
+	Life    float64                                                          // ms for which a request's id may come again; 0: usualLife
 	Dial    func(network, addr string, wait time.Duration) (net.Conn, error) // nil: package net's
+	Write   func(fd int, b []byte) (int, error)                              // what the socket takes now; nil: the system's
 }
 
 // Pools are the connections to all cache servers.
@@ -52,6 +56,10 @@
 	if l.Dial == nil {
 		l.Dial = net.DialTimeout
 	}
+	if l.Write == nil {
+		l.Write = syscall.Write
+	}
+	l.Life = cmp.Or(l.Life, usualLife)
 	p := &Pools{clock: c}
 	p.limits.Store(&l)
 	p.pools.Store(iradix.New[*pool]())
@@ -127,6 +135,8 @@
 }
 
 const (
+	// usualLife: in ms, over the longest deadline that is usual, where it is not told.
+	usualLife = 20_000
 	// usualPart: with so many calls on each connection another one is opened, while there may be more.
 	usualPart = 4
 	// aloneConns of a cache server's connections are for calls that may not be repeated.
@@ -143,9 +153,13 @@
 		go c.finish(core.End{Result: policy.Moot})
 		return func() bool { c.forget(); return false }
 	}
-	stop := p.clock.After(c.ttl, func() { conn.giveUp(c, true) })
+	stop, stale := p.clock.After(c.ttl, func() { conn.giveUp(c, true) }), func() {}
+	if left := c.sendBy - p.clock.Now(); c.sendBy > 0 && left < c.ttl {
+		stale = p.clock.After(left, func() { conn.overdue(c) })
+	}
 	return func() bool {
 		stop()
+		stale()
 		return conn.giveUp(c, false)
 	}
 }
@@ -210,6 +224,17 @@
 	})
 }
 
+// heardSince tells whether an answer has come since then, over any connection.
+func (pl *pool) heardSince(then float64) bool {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return slices.ContainsFunc(pl.conns, func(k *conn) bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.heard > then
+	})
+}
+
 func (pl *pool) closeIdle() {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -98,6 +98,22 @@
 		s expect fetch r2 * -
 		s send r2 served -
 		up expect r2 ok`,
+	// Once the retry went out on the same connection, and a second "overload" some milliseconds late was taken for its answer:
+	// a write that was running by then was sent elsewhere.
+	"a second answer that is late is not taken for the answer to the retry": `
+		up send w1 once
+		s expect fetch w1 * -
+		s send w1 overload
+		up expect w1 full
+		up send w1 once
+		s expect fetch w1 * -
+		s send at w1 w1 overload
+		up send r1
+		s expect fetch r1 * -
+		s send r1 served -
+		up expect r1 ok
+		s send w1 served -
+		up expect w1 ok`,
 	"silence: the attempt times out, and the next goes over a new connection": `
 		up send r1
 		s expect fetch r1 * -
@@ -137,11 +153,10 @@
 		up expect r1 ok`)
 }
 
-type dialer func(network, addr string, wait time.Duration) (net.Conn, error)
-
 // newPools has one cache server, and one connection for reads.
-func newPools(clk *clock.Clock, cache *scenario.Server, dial dialer) *upstream.Pools {
-	pools := upstream.New(clk, upstream.Limits{PerConn: 10, Conns: 3, Connect: 5000, Dial: dial})
+func newPools(clk *clock.Clock, cache *scenario.Server, l upstream.Limits) *upstream.Pools {
+	l.PerConn, l.Conns, l.Connect = 10, 3, 5000
+	pools := upstream.New(clk, l)
 	m := core.Member{Addr: cache.Addr()}
 	m.ID = scenario.CacheID
 	pools.Members([]core.Member{m}, true)
@@ -152,7 +167,7 @@
 // kept its place, and attempts found no room.
 func TestManyAborts(t *testing.T) {
 	clk, cache := clock.Manual(0), scenario.Listen(t)
-	pools := newPools(clk, cache, nil)
+	pools := newPools(clk, cache, upstream.Limits{})
 	actors := map[string]scenario.Actor{"up": scenario.Attempt(pools), "s": cache}
 	for i := range 300 {
 		id := fmt.Sprint("r", i)
@@ -168,31 +183,42 @@
 	}
 }
 
-// slammed is a connection of which a write takes so many bytes and then fails.
-type slammed struct {
-	net.Conn
-	takes int
-}
-
-func (s slammed) Write(b []byte) (int, error) {
-	n, _ := s.Conn.Write(b[:min(s.takes, len(b))])
-	return n, &net.OpError{Op: "write", Err: syscall.EPIPE}
-}
-
 // What a broken connection took no whole frame of never came to anybody: a write that may not be repeated is not given up
 // for it. What it took whole may have run.
 func TestNotWritten(t *testing.T) {
 	for takes, want := range map[int]string{0: "moot", 5: "moot", 1 << 10: "reset"} {
 		clk, cache := clock.Manual(0), scenario.Listen(t)
-		pools := newPools(clk, cache, func(network, addr string, wait time.Duration) (net.Conn, error) {
-			nc, err := net.DialTimeout(network, addr, wait)
-			return slammed{nc, takes}, err
-		})
+		broken := false
+		pools := newPools(clk, cache, upstream.Limits{Write: func(fd int, b []byte) (int, error) {
+			if broken {
+				return -1, syscall.EPIPE
+			}
+			broken = true
+			if takes == 0 {
+				return -1, syscall.EPIPE
+			}
+			return syscall.Write(fd, b[:min(takes, len(b))])
+		}})
 		up := scenario.Attempt(pools)
-		scenario.Run(t, clk, map[string]scenario.Actor{"up": up}, `
-			up send w1 once
-			up expect w1 `+want)
-		require.Equal(t, want == "reset", up.Sent())
+		actors := map[string]scenario.Actor{"up": up, "s": cache}
+		scenario.Run(t, clk, actors, `
+			up send r1`)
+		if want == "reset" { // the next write fails
+			scenario.Run(t, clk, actors, `
+				s expect fetch r1 * -
+				up send r2`)
+			got := map[string]string{}
+			for range 2 {
+				words, err := up.Receive()
+				require.NoError(t, err)
+				got[words[0]] = words[1]
+			}
+			require.Equal(t, map[string]string{"r1": "reset", "r2": "moot"}, got)
+			continue
+		}
+		scenario.Run(t, clk, actors, `
+			up expect r1 `+want)
+		require.False(t, up.Sent())
 	}
 }
 
@@ -208,7 +234,7 @@
 		return net.DialTimeout(network, addr, wait)
 	}
 	clk, cache := clock.Manual(0), scenario.Listen(t)
-	pools := newPools(clk, cache, dial)
+	pools := newPools(clk, cache, upstream.Limits{Dial: dial})
 	scenario.Run(t, clk, map[string]scenario.Actor{"up": scenario.Attempt(pools), "s": cache}, `
 		up send r1
 		s expect fetch r1 * -
@@ -229,7 +255,7 @@
 		return net.DialTimeout(network, addr, wait)
 	}
 	clk, cache := clock.Manual(0), scenario.Listen(t)
-	actors := map[string]scenario.Actor{"up": scenario.Attempt(newPools(clk, cache, dial)), "s": cache}
+	actors := map[string]scenario.Actor{"up": scenario.Attempt(newPools(clk, cache, upstream.Limits{Dial: dial})), "s": cache}
 	scenario.Run(t, clk, actors, `
 		up send r1
 		s expect fetch r1 * -`)
@@ -258,13 +284,13 @@
 	m.ID = scenario.CacheID
 	pools.Members([]core.Member{m}, true)
 	actors := map[string]scenario.Actor{"up": scenario.Attempt(pools), "s": cache}
-	for range 50 {
-		scenario.Run(t, clk, actors, `
-			up send r1
-			s expect fetch r1 * -
-			s send r1 served -
-			up expect r1 ok
-			wait 1000`)
+	for i := range 50 {
+		scenario.Run(t, clk, actors, strings.ReplaceAll(`
+			up send ID
+			s expect fetch ID * -
+			s send ID served -
+			up expect ID ok
+			wait 1000`, "ID", fmt.Sprint("a", i)))
 	}
 	require.EqualValues(t, 1, dials.Load())
 	scenario.Run(t, clk, actors, "s await closed")
