Upstream test: what waits on a blocked connection moves on, in every run

Change: TestStaleWhileBlocked forces it on a connection that nobody writes on. Measured: it fails with overdue that ends nothing, and with one that does not wait for the dial.

--- a/internal/upstream/push_test.go
+++ b/internal/upstream/push_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
 	"syscall"
 	"testing"
@@ -125,3 +126,28 @@
 		}
 	})
 }
+
+// A connection that is up takes nothing at all: what waits on it moves on once its decision is too old, and is not waited
+// for until the request's own time is up. One that is not up yet may still turn out not to be reached.
+func TestStaleWhileBlocked(t *testing.T) {
+	for _, up := range []bool{true, false} {
+		clk := clock.Manual(0)
+		p := New(clk, Limits{PerConn: 100, Conns: 3})
+		m := core.Member{Addr: "127.0.0.1:1"}
+		m.ID = 1
+		p.Members([]core.Member{m}, true)
+		k := newConn(p.pool(1), false) // nobody writes on it
+		if up {
+			k.nc, _ = net.Pipe()
+		}
+		p.pool(1).conns = []*conn{k}
+		ends := make(chan core.End, 1)
+		p.Send(core.Attempt{ID: "r1", To: 1, TTL: 5000, SendBy: 500}, func(e core.End) { ends <- e })
+		clk.Advance(499)
+		require.Empty(t, ends)
+		clk.Advance(1)
+		require.Equal(t, up, len(ends) == 1)
+		clk.Advance(4500)
+		require.Equal(t, core.End{Result: policy.Moot}, <-ends)
+	}
+}
