Writes answered in time raise no limit: at the origin they hid fills that came too late

Checked with a line for each request and for the limits (300 proxies): from 9 s on fills that the origin gives take 5.9 s for 2.4 MB, their first byte 0.2 s, while fills from parents' own copies take 0.9 s; the largest wait out their 9 s. The limit at the origin rises all the while, from 4.5 to 7.2 a router. At fault: learn, which let each write in time raise the origin's limit; writes are small, are sent there past every limit, and are most of its answers.

Change: a write in time raises none; late it still lowers. Who pays for whom: with it fills of what is asked for once wait for a place, where all crawled before.

TestWritesRaiseNoLimit fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,11 +44,10 @@
 	// limitStart, limitLeast: attempts that all routers of the location let themselves have out at a cache,
 	// or fills on its link, at first and at least; each has its part. sourceStart, sourceLeast: fills of one
 	// router at a parent or the origin; it starts with sourcePart of its part of its caches' links, or eighty
-	// routers would have room for a jam before one meets its limit, and rises while less than spareSource is
-	// free beyond twice what is out. limitShrink is what a late answer leaves of a limit; one in time adds
-	// limitRaise of it, or limitStep for all its places. An answer speaks for the time since the last, in
-	// limitEvery, limitSpeaks times at most: one that sees few would learn too late. A lower limit serves
-	// fewer in time, not more too late.
+	// would have room for a jam before one meets its limit, and rises while less than spareSource is free
+	// beyond twice what is out. limitShrink is what a late answer leaves of a limit; one in time adds
+	// limitRaise of it, or limitStep for all its places. It speaks for the time since the last, in
+	// limitEvery, limitSpeaks times at most: one that sees few learns late. Lower serves less, not more late.
 	limitStart, limitLeast                            = 16.0, 9.0
 	sourceStart, sourceLeast, sourcePart, spareSource = 16.0, 0.2, 0.25, 0.5
 	limitShrink, limitRaise                           = 0.9, 0.1
@@ -635,6 +634,7 @@
 	switch turned := o.Note == NoteSourceRefused || o.Note == NoteOriginFailed; {
 	case o.Note == NoteNoPlace:
 		r.adapt(r.link, true)
+	case o.Result == OK && q.class.Uncached && !a.late: // it is sent past every limit, and raises none
 	case o.Result == OK:
 		a.to.LateShare.learn(a.late, failGain)
 		r.adapt(decided, a.late)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -915,3 +915,35 @@
 		}
 	}
 }
+
+// What may not be repeated runs at the origin and is sent there past its limit. Answered in time by the hundred, small as it
+// is, it raised the limit that fills keep to, while the largest of them waited for their bytes until their time was up.
+func TestWritesRaiseNoLimit(t *testing.T) {
+	for _, writes := range []int{0, 40} {
+		s := start(t, settings(), fleet())
+		s.r.fillShare, s.r.originShare = 1, 1
+		for round := range 20 {
+			open := map[string]Get{}
+			for i := range 10 {
+				q := req(fmt.Sprint("r", round, i), fmt.Sprint(round, i))
+				if g, ok := find[Get](s.on(q)); ok && g.Source != g.Cache {
+					open[q.ID] = g
+				}
+			}
+			for i := range writes {
+				q := req(fmt.Sprint("w", round, i), "o")
+				q.Class = 1
+				s.answer(q.ID, s.get(s.on(q)), NoteFilledOrigin, 100*ms)
+				s.now += 100 * ms
+			}
+			s.now += 3 * time.Second
+			for id, g := range open {
+				s.r.reqs[id].attempts[0].late = true
+				s.on(Outcome{ID: id, Cache: g.Cache, Result: OK, Note: NoteFilledOrigin, Latency: 3 * time.Second, Waited: time.Second, Closed: true})
+			}
+		}
+		if got := s.r.origin.Limit; got > 3 {
+			t.Errorf("%d writes in time to ten fills that are late: the origin's limit is %.2f", writes, got)
+		}
+	}
+}
