Settings stay apart: what was learned under others is not taken, a foreign reload is not followed

Need: nothing of one customer's settings may show in another's. Read for it: no variable of a package is filled by settings. Two ways were open. A process that takes over took what the one before had learned if the names of the classes were the same, under other costs, effects and deadlines too (usable). A reload followed the board of any file; with other zones or kinds of machine the numbers on that board point elsewhere (again).

Change: what was learned carries a digest of the settings and is taken under the same ones alone; a file whose zones and kinds are not in the places of those of the start is refused with one line. Also: the console closed over what came behind a line, which resets the connection and its answer; it shuts its side and reads on, within its bounds.

TestProgram has a client that rests as SIGTERM comes and sends then.

--- a/cmd/ravenwheel/serve_test.go
+++ b/cmd/ravenwheel/serve_test.go
@@ -113,13 +113,19 @@
 	good, err := os.ReadFile(path)
 	require.NoError(t, err)
 	lines := bufio.NewScanner(logs)
-	hup := func(text []byte) {
+	hup := func(text []byte) (said string) {
 		require.NoError(t, os.WriteFile(path, text, 0o600))
 		require.NoError(t, cmd.Process.Signal(syscall.SIGHUP))
 		require.True(t, lines.Scan())
 		require.Contains(t, lines.Text(), "reload: ")
+		return lines.Text()
 	}
 	hup(good[:len(good)/2])
+	// Nor does one of another deployment, on whose board the numbers of zones and kinds point elsewhere.
+	stray := listenBoard(t)
+	foreign := bytes.ReplaceAll(good, []byte(`["small","parent","origin"]`), []byte(`["parent","small","origin"]`))
+	require.NotEqual(t, good, foreign)
+	require.Contains(t, hup(bytes.ReplaceAll(foreign, []byte(board.Addr().String()), []byte(stray.Addr().String()))), "takes a restart")
 	other, moved := scenario.Listen(t), listenBoard(t)
 	hup(bytes.ReplaceAll(good, []byte(board.Addr().String()), []byte(moved.Addr().String())))
 	nc, err = moved.Accept()
@@ -136,7 +142,23 @@
 	scenario.Run(t, clock.System(), map[string]scenario.Actor{"c": c, "s": other}, `
 		c send RPC.CALL 3 asset rid=00000000000000a2,budget=60000,obj=7f3a9c21e0b4d655,nth=0,batch=17
 		s expect fetch 00000000000000a2 lane=asset,* -`)
+	rests, err := net.Dial("tcp", listen)
+	require.NoError(t, err)
+	defer rests.Close()
+	_, err = rests.Write([]byte("*2\r\n$10\r\nRPC.HEALTH\r\n$1\r\n1\r\n"))
+	require.NoError(t, err)
+	answer := make([]byte, 64)
+	_, err = rests.Read(answer)
+	require.NoError(t, err)
 	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM)) // what is open is answered first
+	// A connection at rest ends properly, and what its client sends in that instant neither resets it nor is sent on.
+	_, err = rests.Read(answer)
+	require.ErrorIs(t, err, io.EOF)
+	_, err = rests.Write([]byte("*4\r\n$8\r\nRPC.CALL\r\n$1\r\n2\r\n$5\r\nasset\r\n$58\r\nrid=00000000000000a9,budget=60000,obj=7f3a9c21e0b4d655,nth=\r\n"))
+	require.NoError(t, err)
+	require.NoError(t, rests.(*net.TCPConn).CloseWrite())
+	_, err = rests.Read(answer)
+	require.ErrorIs(t, err, io.EOF)
 	scenario.Run(t, clock.System(), map[string]scenario.Actor{"c": c, "s": other}, `
 		s send 00000000000000a2 served why=local,version=v1 BYTES
 		c expect 3 ok - BYTES`)
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"ravenwheel/internal/admin"
@@ -48,6 +49,7 @@
 	admin  *admin.Admin  // nil: off
 	store  *store.Store  // nil: none is set up
 	core   *core.Core
+	conf   *config.Config // of the start
 	clk    *clock.Clock
 	names  *names.Cache
 	facts  serverlist.Facts
@@ -59,7 +61,7 @@
 // before it has passed on, and what operators empty (nil: neither).
 func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, st *store.Store,
 	heard chan replica.Change, talk *peers.Peers, at *place) (*sources, error) {
-	s := &sources{store: st, core: c, clk: clk, names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
+	s := &sources{store: st, core: c, conf: conf, clk: clk, names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
 	s.facts = conf.Facts(0)
 	set := membership.Settings{}
 	fileAt, storeAt, boardAt := -1, -1, -1
@@ -234,10 +236,20 @@
 		log.Error("reload").Err(err).Msg("reload: the old configuration stays")
 		return
 	}
+	if !extends(conf.Names.Zones, s.conf.Names.Zones) || !extends(conf.Names.Kinds, s.conf.Names.Kinds) {
+		// Guards against a board whose numbers point into other lists than those that this process was started with.
+		log.Error("reload").Msg("reload: the file has other zones or kinds of machine, which takes a restart: the old configuration stays")
+		return
+	}
 	s.board.Move(conf.Board)
 	log.Info("reload").Str("board", conf.Board).Msg("reload: the notice board is followed there")
 }
 
+// extends tells whether a list has the names of another one in the same places.
+func extends(list, other []string) bool {
+	return len(list) >= len(other) && slices.Equal(list[:len(other)], other)
+}
+
 func (s *sources) close() {
 	if s.list != nil {
 		s.list.Close()
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -30,6 +30,8 @@
 	mostLine = 128
 	// mostHeld callers are connected at once. Some finish no call: the one that has waited longest makes room.
 	mostHeld = 16
+	// mostDropped bytes behind a line are read before the close, within lineWait.
+	mostDropped = 1 << 20
 	// lineWait: a caller that has not finished its line by then gets no answer; callers wait for a second.
 	lineWait = 2 * time.Second
 )
@@ -96,6 +98,10 @@
 	c.mu.Unlock()
 	if ok {
 		_, _ = nc.Write([]byte(c.Answer(line) + "\n"))
+		// Guards against a close over what the caller sent behind its line: it resets the connection, and the answer with it.
+		if half, is := nc.(*net.TCPConn); is && half.CloseWrite() == nil {
+			_, _ = io.Copy(io.Discard, io.LimitReader(nc, mostDropped))
+		}
 	}
 }
 
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -126,3 +126,17 @@
 	}
 	wait.Wait()
 }
+
+// What comes behind a line is dropped, and the answer is not: a close over it would reset the connection.
+func TestMoreThanALine(t *testing.T) {
+	c := start(t, &desk{ready: true})
+	for range 20 {
+		nc := dial(t, c)
+		_, err := nc.Write([]byte("STATUS\n" + strings.Repeat("STATUS\n", 30_000)))
+		require.NoError(t, err)
+		require.NoError(t, nc.CloseWrite())
+		answer, err := io.ReadAll(nc)
+		require.NoError(t, err, "no reset")
+		require.Equal(t, "SUCCESS serving\n", string(answer))
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -114,6 +115,7 @@
 	up       Upstream
 	set      policy.Settings
 	classes  []string
+	settings [sha256.Size]byte // digest of set
 	mostHeld atomic.Int64
 	goodFor  float64 // ms for which a decision may wait for its first byte
 	Counters Counters
@@ -175,6 +177,10 @@
 	if err != nil {
 		return nil, err
 	}
+	sum, err := digest(set)
+	if err != nil {
+		return nil, err
+	}
 	if mostHeld <= 0 {
 		mostHeld = 4096
 	}
@@ -187,7 +193,7 @@
 		}
 	}
 	core := &Core{
-		clock: c, up: up, set: set, classes: classes, goodFor: good, router: router, lives: map[string]*life{},
+		clock: c, up: up, set: set, settings: sum, classes: classes, goodFor: good, router: router, lives: map[string]*life{},
 	}
 	core.mostHeld.Store(int64(mostHeld))
 	return core, nil
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"math"
@@ -14,11 +15,12 @@
 )
 
 // learnedRevision is the form of what a process hands to the one that takes its place.
-const learnedRevision = 1
+const learnedRevision = 2
 
 type learned struct {
 	Revision int
 	Classes  []string
+	Settings [sha256.Size]byte // those that it was learned under
 	Learned  policy.Learned
 	Counted  []int64 // what the counters have risen to, in the order of rising
 }
@@ -34,7 +36,7 @@
 // Learned is what the module has learned: who is down, limits, ramps, budgets, sending times.
 func (c *Core) Learned() ([]byte, error) {
 	c.mu.Lock()
-	l := learned{learnedRevision, c.classes, c.router.Learned(), nil}
+	l := learned{learnedRevision, c.classes, c.settings, c.router.Learned(), nil}
 	for _, n := range c.Counters.rising() {
 		l.Counted = append(l.Counted, n.Load())
 	}
@@ -54,6 +56,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// Guards against a process that takes over under other settings, another customer's even: limits, ramps and sending times
+	// that were learned under the costs and deadlines of before would show in what it decides.
+	if l.Settings != c.settings {
+		return errSettings
+	}
 	if err := usable(l, c.classes, clock.Duration(c.clock.Now())); err != nil {
 		return err
 	}
@@ -70,8 +77,16 @@
 // mostLearned bounds a limit, a credit and a sending time: what is beyond it no router has learned.
 const mostLearned = 1e6
 
+var errSettings = errors.New("core: what was learned was learned under other settings")
+
 var errLearned = errors.New("core: what was learned is not of this proxy, or of another time")
 
+// digest is of all facts that the module works from.
+func digest(set policy.Settings) ([sha256.Size]byte, error) {
+	text, err := cbor.Marshal(set)
+	return sha256.Sum256(text), err
+}
+
 // usable holds what another process tells to what a module can have learned by now. Guards against a number that no
 // arithmetic recovers from, and against a time to come, at which a server would be judged anew.
 func usable(l learned, classes []string, now policy.Time) error {
--- a/internal/core/learned_test.go
+++ b/internal/core/learned_test.go
@@ -69,6 +69,7 @@
 	type form struct {
 		Revision int
 		Classes  []string
+		Settings []byte
 		Learned  policy.Learned
 		Counted  []int64
 	}
@@ -77,6 +78,7 @@
 		"few counted": func(f *form) { f.Counted = f.Counted[1:] },
 		"revision":    func(f *form) { f.Revision = 9 },
 		"classes":     func(f *form) { f.Classes[0] = "other" },
+		"settings":    func(f *form) { f.Settings[0]++ },
 		"few classes": func(f *form) { f.Learned.MeanSend = f.Learned.MeanSend[:1] },
 		"no number":   func(f *form) { f.Learned.Link.Limit = math.NaN() },
 		"no time":     func(f *form) { f.Learned.MeanTook[0] = 0 },
--- a/internal/core/leave_test.go
+++ b/internal/core/leave_test.go
@@ -37,14 +37,18 @@
 
 func (s *serves) Members([]core.Member, bool) {}
 
-func coreOver(t *testing.T, clk *clock.Clock, up core.Upstream) *core.Core {
-	c, err := core.New(scenario.Settings(), []string{"replay", "asset", "seat-claim"}, 0, 7, clk, up)
-	require.NoError(t, err)
+func coreMembers() membership.Publish {
 	list := make([]core.Member, 3)
 	for i, id := range []policy.CacheID{scenario.CacheID, scenario.ParentID, scenario.OriginID} {
 		list[i].ID, list[i].Kind, list[i].Weight = id, i, 10
 	}
-	c.Members(membership.Publish{Version: 1, Whole: true, Members: list})
+	return membership.Publish{Version: 1, Whole: true, Members: list}
+}
+
+func coreOver(t *testing.T, clk *clock.Clock, up core.Upstream) *core.Core {
+	c, err := core.New(scenario.Settings(), []string{"replay", "asset", "seat-claim"}, 0, 7, clk, up)
+	require.NoError(t, err)
+	c.Members(coreMembers())
 	return c
 }
 
