Watches that fall silent together ask anew spread over a second; tests of readiness and places

Need: all watches of a fleet may fall silent in one instant and stay so; each ended after 2.5 s to the instant, and the calls came within a tenth of a second. Change: each client has its own patience, 2 to 3 s, drawn from its seed. Measured: TestAllFallSilent fails without it (300 proxies; at most one in eight within 50 ms).

Tests of what holds already, with the mutation they catch: TestSilentForGood (a watch taken for alive, or asked from another number), TestReadyWhileDiscoveryIsDown (12 processes started at once and again after a kill, none ready before it serves; catches a start that waits for the board), TestIdleClientsFillDescriptors (clients given all descriptors: fails).

--- /dev/null
+++ b/cmd/ravenwheel/ready_test.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/scenario"
+)
+
+// refuses is an address at which nobody listens.
+func refuses(t *testing.T) string {
+	ln := listenBoard(t)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// served asks a process that says that it takes work for an object at once: it is not ready before it can serve. It tells
+// whether the process was there.
+func served(listen string) (there bool, err error) {
+	nc, err := net.Dial("tcp", listen)
+	if err != nil {
+		return false, nil
+	}
+	defer nc.Close()
+	read := func(want string) error {
+		b := make([]byte, 256)
+		n, err := nc.Read(b)
+		if err != nil || !bytes.Contains(b[:n], []byte(want)) {
+			return fmt.Errorf("wanted %s: %q, %v", want, b[:n], err)
+		}
+		return nil
+	}
+	_, _ = nc.Write([]byte("*2\r\n$10\r\nRPC.HEALTH\r\n$1\r\n1\r\n"))
+	if err := read("yes"); err != nil {
+		return true, err
+	}
+	fields := "rid=00000000000000a1,budget=60000,obj=7f3a9c21e0b4d655,nth=0,batch=17"
+	_, _ = fmt.Fprintf(nc, "*4\r\n$8\r\nRPC.CALL\r\n$1\r\n2\r\n$5\r\nasset\r\n$%d\r\n%s\r\n", len(fields), fields)
+	return true, read("BYTES")
+}
+
+// Discovery is down, and all processes of a fleet are started at once, killed and started again: each serves from what its
+// configuration knows, and none says that it takes work before.
+func TestReadyWhileDiscoveryIsDown(t *testing.T) {
+	const processes = 12
+	bin, cache := build(t), scenario.Listen(t)
+	go func() {
+		for t.Context().Err() == nil {
+			if words, err := cache.Receive(); err == nil && len(words) > 1 && words[0] == "fetch" {
+				_ = cache.Send([]string{words[1], "served", "why=local,version=v1", "BYTES"})
+			}
+		}
+	}()
+	down := refuses(t)
+	var all sync.WaitGroup
+	for range processes {
+		listen := freeAddr(t)
+		path := configFile(t, listen, down, cache.Addr())
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for life := range 2 {
+				cmd := exec.Command(bin)
+				cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
+				if err := cmd.Start(); err != nil {
+					t.Error(err)
+					return
+				}
+				for until := time.Now().Add(time.Minute); ; time.Sleep(2 * time.Millisecond) {
+					there, err := served(listen)
+					if err != nil || time.Now().After(until) {
+						t.Errorf("life %d: %v", life, err)
+					}
+					if there || t.Failed() {
+						break
+					}
+				}
+				_ = cmd.Process.Kill()
+				_ = cmd.Wait()
+			}
+		}()
+	}
+	all.Wait()
+}
+
+// Discovery is down while idle clients take all places that there are for clients, and go on coming: a proper request gets
+// in, goes to its server, and is answered; operators are answered; and discovery is followed once it is back.
+func TestIdleClientsFillDescriptors(t *testing.T) {
+	const sockets = 96
+	bin, cache := build(t), scenario.Listen(t)
+	listen, at := freeAddr(t), refuses(t)
+	path := configFile(t, listen, at, cache.Addr())
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	text = bytes.ReplaceAll(text, []byte(`"sockets":1024`), fmt.Appendf(nil, `"sockets":%d`, sockets))
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	r := &running{cmd: exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %s", sockets, bin)), console: freeAddr(t), logs: &strings.Builder{}}
+	r.cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_CONSOLE="+r.console, "TMPDIR="+t.TempDir())
+	r.cmd.Stderr = r.logs
+	require.NoError(t, r.cmd.Start())
+	t.Cleanup(func() { _ = r.cmd.Process.Kill() })
+	r.ready(t)
+	idle := func(n int) {
+		for range n {
+			c := scenario.Dial(t, listen)
+			_ = c.Send([]string{"RPC.HEALTH", "1"})
+			_, _ = c.Receive() // an answer, or its end: they are more than there are places
+		}
+	}
+	idle(2 * sockets)
+	for i := range 5 {
+		scenario.Run(t, clock.System(), map[string]scenario.Actor{"c": scenario.Dial(t, listen), "s": cache}, fmt.Sprintf(`
+			c send RPC.CALL 1 asset rid=00000000000000a%d,budget=60000,obj=7f3a9c21e0b4d655,nth=0,batch=17
+			s expect fetch 00000000000000a%d lane=asset,* -
+			s send $id served why=local,version=v1 BYTES
+			c expect 1 ok - BYTES`, i, i))
+		require.Equal(t, "SUCCESS serving", r.call("STATUS"))
+		idle(10)
+	}
+	board, err := net.Listen("tcp", at)
+	require.NoError(t, err)
+	defer board.Close()
+	nc, err := board.Accept()
+	require.NoError(t, err)
+	defer nc.Close()
+	var last uint64
+	require.NoError(t, binary.Read(nc, binary.BigEndian, &last))
+	require.EqualValues(t, 1, last)
+	require.NoError(t, r.cmd.Process.Signal(os.Interrupt))
+	require.NoError(t, r.cmd.Wait(), r.logs.String())
+}
--- a/internal/source/board/board.go
+++ b/internal/source/board/board.go
@@ -201,7 +201,7 @@
 type Client struct {
 	Addr    string        // at the start; see Move
 	Last    uint64        // number of the last event known
-	Silence time.Duration // frames come every second: after so much silence the connection is broken
+	Silence time.Duration // frames come every second: after about so much silence the connection is broken; see patience
 	Redial  time.Duration // mean pause before the first new connection; see pause
 	Seed    uint64        // of the chance in pauses
 	Notice  func(Notice)
@@ -258,9 +258,17 @@
 	}
 }
 
+// patience is this client's own silence, four to six fifths of the one that is set. Guards against a fleet whose watches fall
+// silent in one instant, and whose calls then come in another.
+func (c *Client) patience() time.Duration {
+	chance := rand.New(rand.NewPCG(c.Seed, 1))
+	return time.Duration(float64(c.Silence) * (0.8 + 0.4*chance.Float64()))
+}
+
 // follow reads one connection to its end, and tells whether a frame came over it.
 func (c *Client) follow(ctx context.Context, addr string) (heard bool) {
-	d := net.Dialer{Timeout: c.Silence}
+	silence := c.patience()
+	d := net.Dialer{Timeout: silence}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return false
@@ -274,7 +282,7 @@
 	}
 	for {
 		// Guards against a board that was cut off: its connection stays open and says nothing.
-		_ = nc.SetReadDeadline(time.Now().Add(c.Silence))
+		_ = nc.SetReadDeadline(time.Now().Add(silence))
 		n, kind, err := readFrame(nc)
 		if err != nil {
 			return heard
--- a/internal/source/board/board_test.go
+++ b/internal/source/board/board_test.go
@@ -86,6 +86,55 @@
 	}
 }
 
+// All watches fall silent in one instant, and stay so: the calls of a fleet come spread over a second, once in some seconds
+// each, for as long as it lasts. Once they all came within a tenth of a second.
+func TestAllFallSilent(t *testing.T) {
+	const proxies, silence, redial = 300, 2500 * time.Millisecond, 100 * time.Millisecond
+	calls := map[time.Duration]int{} // by 50 ms
+	for seed := range proxies {
+		c := &Client{Silence: silence, Redial: redial, Seed: uint64(seed)}
+		again := c.redials()
+		require.GreaterOrEqual(t, c.patience(), 2*time.Second, "a frame that is a second late is no silence")
+		for at := c.patience() + again(true); at < 20*time.Second; at += c.patience() + again(false) {
+			calls[at/(50*time.Millisecond)]++
+		}
+	}
+	most := 0
+	for _, n := range calls {
+		most = max(most, n)
+	}
+	require.LessOrEqual(t, most, proxies/8, "in 50 ms")
+}
+
+// A watch that was open falls silent and each one after it too, without a frame: it is asked anew from the last number, until
+// one tells what came meanwhile.
+func TestSilentForGood(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	got := make(chan Notice, 10)
+	c := Client{
+		Addr: ln.Addr().String(), Last: 4, Silence: 50 * time.Millisecond, Redial: time.Millisecond,
+		Notice: func(n Notice) { got <- n },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.Run(ctx)
+	for asked := range 6 {
+		nc, err := ln.Accept()
+		require.NoError(t, err)
+		defer nc.Close()
+		var last uint64
+		require.NoError(t, binary.Read(nc, binary.BigEndian, &last))
+		require.EqualValues(t, 4+min(asked, 1), last)
+		if asked == 0 || asked == 5 {
+			_, err = nc.Write(frame(uint64(5+asked), kindGroup, group(17, 1000)...))
+			require.NoError(t, err)
+			require.EqualValues(t, 5+asked, (<-got).Rev)
+		}
+	}
+}
+
 func TestKnown(t *testing.T) {
 	names := Names{Zones: []string{"east"}, Kinds: []string{"std"}}
 	notices, last, err := Known([]byte(`{"rev":2,"notices":[{"rev":1,"pool":{"reset":false,"instances":[
