--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -1,6 +1,7 @@
 package resp_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -199,3 +200,41 @@
 	require.NoError(t, err)
 	require.Equal(t, []string{"1", "yes"}, words)
 }
+
+// A client sends all that it may have open at once, takes none of the answers until they are blocked here, and shuts its side:
+// while the clock stands all of its requests end, those answered and those out, and its connection.
+func TestFinBehindAPipeline(t *testing.T) {
+	p, f, actors := emptied(t)
+	nc, err := net.Dial("tcp", f.Addr())
+	require.NoError(t, err)
+	defer nc.Close()
+	require.NoError(t, nc.(*net.TCPConn).SetReadBuffer(1<<14))
+	var calls []byte
+	for i := range 32 {
+		calls = frames.Append(calls, "RPC.CALL", fmt.Sprint(i+1), "asset", fmt.Sprintf("rid=%016x,budget=2400,obj=%016x,nth=0,batch=17", i+1, i+1))
+	}
+	_, err = nc.Write(calls)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return p.Core.Counters.Requests.Load() == 32 }, time.Minute, time.Millisecond)
+	body := strings.Repeat("x", 240_000)
+	out := int(p.Core.Counters.Attempts.Load())
+	require.Greater(t, out, 8)
+	for range out - 2 {
+		scenario.Run(t, p.Clock, actors, `
+			s expect fetch * * -
+			s send $id served why=local,version=v1 `+body)
+	}
+	require.Eventually(t, func() bool { return p.Core.Counters.Served.Load() == int64(out-2) }, time.Minute, time.Millisecond)
+	require.False(t, f.Idle(), "answers wait for a reader that is none")
+	require.NoError(t, nc.(*net.TCPConn).CloseWrite())
+	require.Eventually(t, func() bool { return f.Held() == 0 && f.Idle() && p.Core.Counters.Open.Load() == 0 }, time.Minute, time.Millisecond)
+	require.EqualValues(t, 2, p.Core.Counters.Gone.Load())
+	for range 2 {
+		scenario.Run(t, p.Clock, actors, `
+			s expect fetch * * -`)
+	}
+	for range 2 {
+		scenario.Run(t, p.Clock, actors, `
+			s expect abort *`)
+	}
+}
--- a/internal/front/resp/leave_test.go
+++ b/internal/front/resp/leave_test.go
@@ -1,9 +1,11 @@
 package resp
 
 import (
+	"io"
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -41,3 +43,54 @@
 	require.ErrorIs(t, err, net.ErrClosed)
 	require.Equal(t, 1, n.unanswered)
 }
+
+// tcpPair is both ends of a connection.
+func tcpPair(t *testing.T) (ours, theirs *net.TCPConn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	got, err := ln.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { nc.Close(); got.Close() })
+	return got.(*net.TCPConn), nc.(*net.TCPConn)
+}
+
+// As the listener closes, redcon closes all connections that it holds. One whose first frame has just come, and whose request
+// may be out by then, goes on; one that has not asked ends in order, and what it asks then is not lived.
+func TestListenerClosesOverTheFirstFrame(t *testing.T) {
+	const frame = "*2\r\n$10\r\nRPC.HEALTH\r\n$1\r\n1\r\n"
+	for _, asked := range []bool{true, false} {
+		clk := clock.Manual(0)
+		f := &Front{clock: clk, core: &counts{}, conns: map[*guard]struct{}{}}
+		f.most.Store(10)
+		ours, theirs := tcpPair(t)
+		g, ok := f.admit(ours)
+		require.True(t, ok)
+		if asked {
+			_, err := theirs.Write([]byte(frame))
+			require.NoError(t, err)
+			_, err = g.Read(make([]byte, 99))
+			require.NoError(t, err)
+		}
+		require.NoError(t, g.Close())
+		if asked {
+			_, err := g.Write([]byte("x"))
+			require.NoError(t, err, "its answer can be written")
+			n, err := theirs.Read(make([]byte, 9))
+			require.NoError(t, err)
+			require.Equal(t, 1, n)
+			continue
+		}
+		_, err := theirs.Read(make([]byte, 9))
+		require.ErrorIs(t, err, io.EOF)
+		_, err = theirs.Write([]byte(frame))
+		require.NoError(t, err)
+		require.NoError(t, theirs.CloseWrite())
+		_, err = g.Read(make([]byte, 99))
+		require.ErrorIs(t, err, net.ErrClosed)
+		require.NoError(t, g.Close())
+		require.Eventually(t, func() bool { return f.Held() == 0 }, time.Minute, time.Millisecond)
+	}
+}
