Front tests: two mutations that they let pass are caught

TestListenerClosesOverTheFirstFrame looked before a close that was under way had come; TestClientThatDoesNotEnd let its client go, whom the collector then closed. With the looks in place a redcon close that ends everything, and an end without its 1 s, fail them.

--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -138,6 +138,7 @@
 		stays send RPC.HEALTH 2`)
 	require.Equal(t, 1, f.Held())
 	require.Eventually(t, func() bool { p.Clock.Advance(100); return f.Held() == 0 }, time.Minute, time.Millisecond)
+	require.NoError(t, actors["stays"].Close(), "not before: nobody but the front has ended it")
 }
 
 // A flood of connections that are told to end and do not: beyond the front's places they hold one in eight more.
--- a/internal/front/resp/leave_test.go
+++ b/internal/front/resp/leave_test.go
@@ -76,6 +76,10 @@
 		}
 		require.NoError(t, g.Close())
 		if asked {
+			for range 20 {
+				time.Sleep(time.Millisecond) // a close would be under way
+				require.Equal(t, 1, f.Held())
+			}
 			_, err := g.Write([]byte("x"))
 			require.NoError(t, err, "its answer can be written")
 			n, err := theirs.Read(make([]byte, 9))
