--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -1,6 +1,7 @@
 package resp_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,8 +14,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/drain"
 	"ravenwheel/internal/front/resp"
+	"ravenwheel/internal/invariant"
 	frames "ravenwheel/internal/resp"
 	"ravenwheel/internal/scenario"
 )
@@ -239,3 +242,53 @@
 			s expect abort *`)
 	}
 }
+
+// holds is a core whose requests stay open until their client has left.
+type holds struct {
+	resp.Doer
+	open, most atomic.Int64
+}
+
+func (h *holds) Do(ctx context.Context, _ core.Request) core.Answer {
+	if n := h.open.Add(1); n > h.most.Load() {
+		h.most.Store(n)
+	}
+	<-ctx.Done()
+	h.open.Add(-1)
+	return core.Answer{Verdict: core.Gone}
+}
+
+// A client sends thousands of requests at once: 32 may be open, each further one gets its one answer, a fault, and none of
+// them reaches the core. Another client is answered meanwhile, and nothing is left once the first has gone.
+func TestFlood(t *testing.T) {
+	const calls, most = 5000, 32
+	p := scenario.NewProxy(t)
+	ln, err := net.Listen("tcp", scenario.Loopback())
+	require.NoError(t, err)
+	h := &holds{Doer: p.Core}
+	f := resp.New(ln, 20, p.Clock, h)
+	go func() { _ = f.Serve() }()
+	defer f.Close()
+	nc, err := net.Dial("tcp", f.Addr())
+	require.NoError(t, err)
+	defer nc.Close()
+	var all []byte
+	for i := range calls {
+		all = frames.Append(all, "RPC.CALL", fmt.Sprint(i+1), "asset", fmt.Sprintf("rid=%016x,budget=2400,obj=%016x,nth=0,batch=17", i+1, i+1))
+	}
+	go func() { _, _ = nc.Write(all) }()
+	buf := frames.Buffer{Most: frames.MostAnswered}
+	for i := range calls - most {
+		parts, _, err := buf.Next(nc)
+		require.NoError(t, err)
+		require.Equal(t, []string{fmt.Sprint(i + 1 + most), "fault"}, []string{string(parts[0]), string(parts[1])})
+	}
+	scenario.Run(t, p.Clock, map[string]scenario.Actor{"other": scenario.Dial(t, f.Addr())}, `
+		other send RPC.HEALTH 1
+		other expect 1 yes`)
+	require.Eventually(t, func() bool { return h.open.Load() == most }, time.Minute, time.Millisecond)
+	require.NoError(t, nc.Close())
+	require.Eventually(t, func() bool { return h.open.Load() == 0 && f.Held() == 1 && f.Idle() }, time.Minute, time.Millisecond)
+	require.EqualValues(t, most, h.most.Load())
+	require.Zero(t, invariant.Broken())
+}
