--- a/internal/front/resp/ends_test.go
+++ b/internal/front/resp/ends_test.go
@@ -292,3 +292,23 @@
 	require.EqualValues(t, most, h.most.Load())
 	require.Zero(t, invariant.Broken())
 }
+
+// Whatever the first frame of a connection is, as long as it can be read, the place that it takes is given back: redcon's own
+// reader, which sees it after the guard, finds nothing in it to stumble over.
+func TestFirstFrames(t *testing.T) {
+	_, f, _ := emptied(t)
+	empty := "$0\r\n\r\n"
+	for _, first := range []string{
+		"*1\r\n" + empty, "*1\r\n$4\r\nPING\r\n", "*01\r\n$01\r\nx\r\n", "*2\r\n" + empty + empty, "*8\r\n" + strings.Repeat(empty, 8),
+		"*2\r\n$00000000\r\n\r\n$1\r\n1\r\n", "*1\r\n$0000000\r\n\r\n",
+	} {
+		nc, err := net.Dial("tcp", f.Addr())
+		require.NoError(t, err)
+		_, err = nc.Write([]byte(first))
+		require.NoError(t, err)
+		_, err = io.ReadAll(nc)
+		require.NoError(t, err, "%q: its end, in order", first)
+		require.NoError(t, nc.Close())
+	}
+	require.Eventually(t, func() bool { return f.Held() == 0 }, time.Minute, time.Millisecond)
+}
