--- a/internal/source/board/board_test.go
+++ b/internal/source/board/board_test.go
@@ -22,30 +22,35 @@
 	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint16(nil, n), ms)
 }
 
-// A board that falls silent, sends what can't be read, or an event twice: the client dials again with the
-// last number it has, and hands on each event once.
-func TestClientDialsAgain(t *testing.T) {
+// follow has a client that knows four events follow a board. accept is the board's next connection, which asks for what comes
+// after a number; got are the events that the client hands on.
+func follow(t *testing.T, silence time.Duration) (accept func(want uint64) net.Conn, got chan Notice) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer ln.Close()
-	got := make(chan Notice, 10)
+	got = make(chan Notice, 10)
 	c := Client{
-		Addr: ln.Addr().String(), Last: 4, Silence: 2 * time.Second, Redial: time.Millisecond,
-		Notice: func(n Notice) { got <- n },
+		Addr: ln.Addr().String(), Last: 4, Silence: silence, Redial: time.Millisecond, Notice: func(n Notice) { got <- n },
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	t.Cleanup(func() { cancel(); ln.Close() })
 	go c.Run(ctx)
-	accept := func(want uint64) net.Conn {
+	return func(want uint64) net.Conn {
 		nc, err := ln.Accept()
 		require.NoError(t, err)
+		t.Cleanup(func() { nc.Close() })
 		var last uint64
 		require.NoError(t, binary.Read(nc, binary.BigEndian, &last))
 		require.Equal(t, want, last)
 		return nc
-	}
+	}, got
+}
+
+// A board that falls silent, sends what can't be read, or an event twice: the client dials again with the
+// last number it has, and hands on each event once.
+func TestClientDialsAgain(t *testing.T) {
+	accept, got := follow(t, 2*time.Second)
 	nc := accept(4)
-	_, err = nc.Write(append(frame(5, kindGroup, group(17, 1000)...), frame(5, kindGroup, group(17, 1000)...)...))
+	_, err := nc.Write(append(frame(5, kindGroup, group(17, 1000)...), frame(5, kindGroup, group(17, 1000)...)...))
 	require.NoError(t, err)
 	require.Equal(t, Notice{Rev: 5, Purge: &core.Purge{Group: 17, At: 1001}}, <-got)
 	nc = accept(5) // silence ended the first connection
@@ -109,26 +114,11 @@
 // A watch that was open falls silent and each one after it too, without a frame: it is asked anew from the last number, until
 // one tells what came meanwhile.
 func TestSilentForGood(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	got := make(chan Notice, 10)
-	c := Client{
-		Addr: ln.Addr().String(), Last: 4, Silence: 50 * time.Millisecond, Redial: time.Millisecond,
-		Notice: func(n Notice) { got <- n },
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go c.Run(ctx)
+	accept, got := follow(t, 50*time.Millisecond)
 	for asked := range 6 {
-		nc, err := ln.Accept()
-		require.NoError(t, err)
-		defer nc.Close()
-		var last uint64
-		require.NoError(t, binary.Read(nc, binary.BigEndian, &last))
-		require.EqualValues(t, 4+min(asked, 1), last)
+		nc := accept(uint64(4 + min(asked, 1)))
 		if asked == 0 || asked == 5 {
-			_, err = nc.Write(frame(uint64(5+asked), kindGroup, group(17, 1000)...))
+			_, err := nc.Write(frame(uint64(5+asked), kindGroup, group(17, 1000)...))
 			require.NoError(t, err)
 			require.EqualValues(t, 5+asked, (<-got).Rev)
 		}
