--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -24,6 +24,7 @@
 	SizeKB   float64
 	Repeat   bool
 	Holds    string  // the tag of the copy that the client has
+	Key      string  // the client's idempotency key, the same over its retries; empty: none
 	Body     []byte  // of a write
 	Deadline float64 // Unix ms at which the client gives up
 	SendBy   float64 // no attempt starts later; 0: no such bound
@@ -56,6 +57,7 @@
 	Object string
 	Part   int
 	Holds  string
+	Key    string
 	Body   []byte
 	To     policy.CacheID
 	Source policy.CacheID // To itself: no fill
@@ -347,7 +349,7 @@
 		c.Tally.sent(g.Cache)
 	}
 	a.abort = c.up.Send(Attempt{
-		ID: l.q.ID, Class: c.classes[l.q.Class], Object: l.q.Object, Part: l.q.Part, Holds: l.q.Holds,
+		ID: l.q.ID, Class: c.classes[l.q.Class], Object: l.q.Object, Part: l.q.Part, Holds: l.q.Holds, Key: l.q.Key,
 		Body: l.q.Body, To: g.Cache, Source: g.Source, TTL: ttl, Age: clock.Ms(g.Age), Keep: g.Keep, How: g.How,
 		SendBy: sendBy, Once: c.set.Classes[l.q.Class].Effect == policy.Unsafe,
 	}, func(e End) { l.in <- ended{no, e} })
--- a/internal/front/resp/call.go
+++ b/internal/front/resp/call.go
@@ -20,9 +20,9 @@
 	mostSizeKB   = math.MaxInt32
 )
 
-// copyTag is the form of the tags that caches give to copies: anything else could break the frame to a cache
-// that it is passed on in, and with it the connection that others share.
-var copyTag = regexp.MustCompile(`^[0-9A-Za-z_-]{0,64}$`)
+// bare is the form of what is passed on as it came, the tags of copies and the clients' idempotency keys: anything else
+// could break the frame to a cache that it is passed on in, and with it the connection that others share.
+var bare = regexp.MustCompile(`^[0-9A-Za-z_-]{0,64}$`)
 
 func isTag(b []byte) bool {
 	n, err := strconv.ParseUint(string(b), 10, 63)
@@ -63,7 +63,7 @@
 	facts := d.Settings().Classes[class]
 	q = core.Request{
 		// The module remembers objects for long: as a part of the fields' text, each name would hold all of it.
-		ID: f["rid"], Class: class, Object: strings.Clone(f["obj"]), Repeat: f["again"] == "1", Holds: f["got"],
+		ID: f["rid"], Class: class, Object: strings.Clone(f["obj"]), Repeat: f["again"] == "1", Holds: f["got"], Key: f["token"],
 		Part: int(number("nth", 0, mostParts, 0)), Group: int(number("batch", 0, mostGroup, -1)),
 		SizeKB: number("mem", 0, mostSizeKB, 0), Deadline: now + number("budget", 1, clock.Ms(facts.Deadline), 0),
 	}
@@ -74,7 +74,7 @@
 	if facts.Uncached {
 		most = largestWrite
 	}
-	usable := isHex16(q.ID) && isHex16(q.Object) && copyTag.MatchString(q.Holds) && len(q.Body) <= most
+	usable := isHex16(q.ID) && isHex16(q.Object) && bare.MatchString(q.Holds) && bare.MatchString(q.Key) && len(q.Body) <= most
 	return q, ok && usable && q.Deadline > now
 }
 
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -76,6 +76,9 @@
 	if a.Holds != "" {
 		add("holds", a.Holds)
 	}
+	if a.Key != "" {
+		add("dedupe", a.Key)
+	}
 	return resp.AppendBody(make([]byte, 0, 256+len(a.Body)), a.Body, "fetch", a.ID, string(f))
 }
 
