Module: places in a jam go to what earns most by its own size; repeats yield

At fault: standing() in policy.go compared a class's mean earnings with those of writes, which pass every limit, so that all other classes stood alike, and asked neither for the request's own size nor whether it is a client's repeat; link, parents and origin did not ask for it at all; dispatch sent what its own bytes at the best pace keep beyond its time. Also: a request sent past its caches to a parent that is down is a trial now; a rank is told to caches only; a write that met a failed connection at the origin pauses before it tries there again.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -2,11 +2,9 @@
 // origin. The types it is spoken to with (Settings, events, actions) are in api.go, what it holds is in
 // state.go; every decision, table and tuned value is in this file.
 //
-// The caller owns the clock, the timers and the network. It makes one Router with New, calls Handle for
-// each event with the time of its clock, and carries out the returned actions in order. A Router is a
-// state machine: it starts no goroutine, reads no clock, shares nothing, and gives equal actions for
-// equal events. One Router must not be called from two goroutines at once. Slices passed in remain the
-// caller's and are not kept.
+// The caller owns clock, timers and network. It calls Handle for each event with the time of its clock, and
+// carries out the returned actions in order. A Router is a state machine that starts no goroutine and gives
+// equal actions for equal events; it must not be called from two goroutines at once, and keeps no slices.
 package policy
 
 import (
@@ -41,25 +39,22 @@
 	// and all of them after this part of the time in which it is warm at the latest. A shorter ramp fills
 	// it sooner and spares the others; a longer one spares it. rampElse: where no warming time is told.
 	rampFrom, rampPart, rampElse = 0.1, 0.6, 10 * time.Second
-	// limitStart, limitLeast: attempts that all routers of the location let themselves have out at a cache,
-	// or fills on its link, at first and at least; each has its part. sourceStart, sourceLeast: fills of one
-	// router at a parent or the origin; it starts with sourcePart of its part of its caches' links, or eighty
-	// would have room for a jam before one meets its limit, and rises while less than spareSource is free
-	// beyond twice what is out. limitShrink is what a late answer leaves of a limit; one in time adds
-	// limitRaise of it, or limitStep for all its places. It speaks for the time since the last, in
-	// limitEvery, limitSpeaks times at most: one that sees few learns late. Lower serves less, not more late.
+	// limitStart, limitLeast: attempts that all routers of the location have out at a cache, or fills on its
+	// link, at first and at least; each has its part. sourceStart, sourceLeast: fills of one router at a
+	// parent or the origin; it starts with sourcePart of its part of its caches' links, lest eighty have room
+	// for a jam, and rises while less than spareSource is free beyond twice what is out. limitShrink is what
+	// a late answer leaves of a limit; one in time adds limitRaise of it, or limitStep for all places. It
+	// speaks for the time since the last, in limitEvery, limitSpeaks times at most. Lower serves less.
 	limitStart, limitLeast                            = 16.0, 9.0
 	sourceStart, sourceLeast, sourcePart, spareSource = 16.0, 0.2, 0.25, 0.5
-	limitShrink, limitRaise                           = 0.9, 0.1
-	limitStep                                         = 2.0
+	limitShrink, limitRaise, limitStep                = 0.9, 0.1, 2.0
 	// usualLink: the limits above are in places of caches whose links hold so many transfers. Where those
-	// told hold more, a place stands for as many more, and one answer speaks for that much less of a limit:
-	// a few late ones a second would else keep the limits of a large fleet at those of a small one.
+	// told hold more, a place stands for as many more, and one answer speaks for that much less of a limit.
 	usualLink               = 8.0
 	limitEvery, limitSpeaks = 100 * time.Millisecond, 8.0
-	// lowStanding: the part of a limit open to classes that earn little for their sending time. Lower
-	// serves more small answers in a jam, and fewer large ones.
-	lowStanding = 0.75
+	// lowStanding: the part of a limit open to what earns littleEarned times less for its sending time than
+	// the best class, its square to leastEarned times less. Lower serves more small answers, fewer large.
+	lowStanding, littleEarned, leastEarned = 0.75, 2.0, 8.0
 	// yieldRoom: a crowded cache yields to one with no more than one in so many of its places taken.
 	yieldRoom = 2
 	// mostTurned: a request turned away as full so often is given up: more tries only add to a jam.
@@ -70,16 +65,16 @@
 	budgetSafety = 0.6
 	// meanSendGuess: sending time of a class before any was seen, as a share of its deadline.
 	meanSendGuess, meanGain = 1.0 / 20, 1.0 / 64
-	// meanDrift: how fast, in shares a second, the mean sending time follows answers that take longer.
-	// Slow, since a jam stretches them all, and a jam taken for large objects would never be relieved.
+	// meanDrift: how fast, in shares a second, the mean sending time follows answers that take longer. A jam
+	// stretches them all: taken for large objects it would never be relieved.
 	meanDrift = 0.005
 	// budgetBurst: the part of a window's budget that may be saved up; with budgetSafety it stays below all.
 	budgetBurst = 0.5
-	// typicalSize: an untold size for judging an answer late, as a part of the mean of its class, which few
-	// large objects pull up. Smaller notices a jam sooner, and takes large objects for late more often.
+	// typicalSize: an untold size for judging an answer late, as a part of its class's mean, which few large
+	// objects pull up. Smaller notices a jam sooner, and takes large objects for late more often.
 	typicalSize = 0.7
-	// loadSpan: span over which what a role serves this router is averaged. A shorter one takes chance for
-	// capacity where a router sees an answer in seconds; a longer one knows little after a restart.
+	// loadSpan: span over which what a role serves is averaged. Shorter takes chance for capacity, where a
+	// router sees an answer in seconds; longer knows little after a restart.
 	loadSpan = 15 * time.Second
 	// retryPause: wait before a request whose sources all failed tries again, times the attempts made.
 	retryPause = 50 * time.Millisecond
@@ -156,8 +151,7 @@
 	r.rng = mix(r.rng)
 	q.luck = unit(r.rng)
 	if q.spot = q.home; q.class.InParts {
-		// Caches keep each part by itself: by the object's hash, a much asked object of many parts would
-		// crowd one cache of the location.
+		// Caches keep each part by itself: a much asked object of many parts would crowd one of them.
 		q.spot = mix(q.home + uint64(e.Part))
 	}
 	r.reqs[e.ID] = q
@@ -197,15 +191,17 @@
 	if q.over || q.stream || q.open > 0 || q.waiting {
 		return
 	}
-	if r.now >= q.due || r.set.MaxTries > 0 && len(q.attempts) >= r.set.MaxTries {
+	hopeless := r.ownTime(q) > (q.due - r.now).Seconds()
+	if hopeless || r.now >= q.due || r.set.MaxTries > 0 && len(q.attempts) >= r.set.MaxTries {
 		r.giveUp(q)
 		return
 	}
 	var to, trial *target
-	if q.class.Uncached && r.set.MayPassBy && r.origin.usable() && q.maySend(r.now, r.origin) {
-		to = r.origin // untouched
+	passes := q.class.Uncached && r.set.MayPassBy && !has(q.bad, r.origin) // untouched
+	if passes && r.origin.usable() && q.maySend(r.now, r.origin) {
+		to = r.origin
 	} else if to, trial = r.pick(q); to == nil {
-		to = r.passBy(q)
+		to, trial = r.passBy(q)
 	}
 	if to == nil {
 		r.giveUp(q)
@@ -258,10 +254,7 @@
 			a.deep.deep++
 		}
 	}
-	own := typicalSize * r.sendingTime(q)
-	if q.SizeKB > 0 && r.set.FlowKBPerS > 0 {
-		own = q.SizeKB / r.set.FlowKBPerS
-	}
+	own := cmp.Or(r.ownTime(q), typicalSize*r.sendingTime(q))
 	aim := q.class.Target + time.Duration(q.class.AimStretch*own*float64(time.Second))
 	left, timeout := q.due-r.now, q.due-r.now
 	if trial != nil {
@@ -279,11 +272,14 @@
 	if _, again := r.memory.get(place{q.Object, q.Part}); again {
 		g.Keep = 2 // what was a hit before outlives what is asked for once
 	}
-	if q.class.Uncached {
+	if q.class.Uncached || to.role != edge { // parents know no ranks
 		g.Keep = 0
-	} else if age, purged := r.age(q); purged {
+	}
+	switch age, purged := r.age(q); {
+	case q.class.Uncached:
+	case purged:
 		g.Age = age // and no joining of a fill begun before the purge, nor an ageing copy
-	} else if how&HeldOnly == 0 {
+	case how&HeldOnly == 0:
 		if r.set.SharesFills {
 			g.How |= Join
 		}
@@ -297,6 +293,11 @@
 // sendingTime is the class's mean sending time in seconds.
 func (r *Router) sendingTime(q *request) float64 { return r.meanSend[q.Class] }
 
+// ownTime is the sending time in seconds of the request's own bytes, 0 where size or pace is not told.
+func (r *Router) ownTime(q *request) float64 {
+	return q.SizeKB / cmp.Or(max(0, r.set.FlowKBPerS), math.Inf(1))
+}
+
 // ---- Cache pick: a rendezvous hash over the location's ready caches ----
 
 // pick returns the cache for a request and, if it goes there as a trial, whose.
@@ -314,9 +315,8 @@
 				}
 				continue
 			}
-			// A crowded cache is passed over even when all are: sent more, it would serve all of it late.
-			// It yields only to one with room to spare: between busy ones it would cost hits for nothing.
-			room := r.places(c) / r.standing(q)
+			// A crowded one is passed over even when all are, and yields only to one with room to spare.
+			room := r.places(c)
 			if yielded {
 				room *= yieldRoom
 			}
@@ -333,28 +333,33 @@
 	return nil, nil
 }
 
-// crowded tells whether a cache or source is passed over for now: this router has as much out there as
-// is answered in time, or it said that it was full. A limit is kept by chance, one draw a request, so that
-// one below a single attempt still lets its part through.
+// crowded tells whether a cache or source is passed over for now: as much is out there as is answered in
+// time, or it said that it was full. A limit is kept by chance, so that one below a single attempt works.
 func (r *Router) crowded(q *request, t *target, taken float64) bool {
-	return r.now < t.fullUntil || taken+q.luck > t.Limit*r.scale
+	return r.now < t.fullUntil || taken/r.standing(q)+q.luck > t.Limit*r.scale
 }
 
-// standing is the part of a limit that a class may use. In a jam a place is best given to the class that
-// earns most for its sending time; one that earns less than half as much is turned away a little sooner.
+// standing is the part of a limit that a request may use. In a jam a place is best given to whoever earns
+// most for its sending time: what earns far less than the best class does on average is turned away a little
+// sooner, and so is a client's repeat, since its time counts from the first try.
 func (r *Router) standing(q *request) float64 {
 	best := 0.0
 	for i, c := range r.set.Classes {
-		best = max(best, c.Worth/r.meanSend[i])
+		if !c.Uncached { // it takes no place where there are limits
+			best = max(best, c.Worth/r.meanSend[i])
+		}
 	}
-	if 2*q.class.Worth/r.sendingTime(q) < best {
-		return lowStanding
+	earns, part := q.class.Worth/cmp.Or(r.ownTime(q), r.sendingTime(q)), 1.0
+	for _, low := range []bool{littleEarned*earns < best, leastEarned*earns < best, q.Repeat} {
+		if low {
+			part *= lowStanding
+		}
 	}
-	return 1
+	return part
 }
 
-// places is what this router has out at a target: attempts, and of those that only name it as their
-// source the share that will need it. Counting them all would shut a parent for hits it never sees.
+// places is what this router has out at a target: attempts, and of those that name it as their source the
+// share that will need it. Counting them all would shut a parent for hits it never sees.
 func (r *Router) places(t *target) float64 {
 	fills := float64(r.fillShare)*float64(t.fills) + float64(r.originShare)*float64(t.deep)
 	if t.role == origin {
@@ -364,8 +369,8 @@
 }
 
 // adapt moves the limit of the one that decided how long an answer took: up if in time, down if late. With
-// less than half its places taken it stays: large objects are late now and then, and would shut an idle one.
-// A source's rises only where more are out: eighty with room for two fills each are a jam for the origin.
+// less than half its places taken it stays, as large objects are late now and then. A source's rises only
+// where more are out: eighty with room for two fills each are a jam for the origin.
 func (r *Router) adapt(t *target, late bool) {
 	least, sharers := sourceLeast, 1.0
 	if t.role == edge { // its neighbours raise theirs: all together it grows as one router's would
@@ -385,16 +390,16 @@
 }
 
 // passBy is for a location with no cache up: past crowded ones it would bring the jam to the parents.
-func (r *Router) passBy(q *request) *target {
+func (r *Router) passBy(q *request) (to, trial *target) {
 	for _, c := range r.caches {
 		if c.State == Ready && !c.Down {
-			return nil
+			return nil, nil
 		}
 	}
-	if t, _, _ := r.walk(q, nil); r.set.MayPassBy && t != nil && q.maySend(r.now, t) {
-		return t
+	if to, _, trial = r.walk(q, nil); r.set.MayPassBy && to != nil && q.maySend(r.now, to) {
+		return to, trial
 	}
-	return nil
+	return nil, nil
 }
 
 // ---- Chain walk: recent hit holder, default parent, next parent up, origin ----
@@ -612,8 +617,7 @@
 		a.source.Credit += a.fill
 	}
 	// A late fill is its source's doing where the first byte was what took long, else that of a link: its
-	// source's, where fills from others come in time, or the location's. One jam there feeds itself: fills
-	// run on without a client, and are asked for again.
+	// source's, where fills from others come in time, or the location's, whose jams feed themselves.
 	decided, soon := a.to, o.Waited <= q.class.Target/2
 	if filled && a.source != nil {
 		decided = a.source
@@ -656,11 +660,9 @@
 	if filled && a.source != nil {
 		r.served(a.source, r.sendingTime(q))
 	}
-	took := o.Latency.Seconds()
-	if q.SizeKB > 0 && r.set.FlowKBPerS > 0 {
-		took = q.SizeKB / r.set.FlowKBPerS
-	} else if filled {
-		took = 0
+	took := r.ownTime(q)
+	if took == 0 && !filled {
+		took = o.Latency.Seconds()
 	}
 	if took > 0 {
 		r.meanTook[q.Class] += meanGain * (took - r.meanTook[q.Class])
@@ -752,10 +754,9 @@
 }
 
 // affords tells whether a cold target can take another attempt without being pushed over. The budget holds
-// for any window and for all routers together; this router keeps to its own part of it as a credit that
-// accrues with time and may be overdrawn by one attempt. Where a part is far below one attempt routers take
-// turns: they start in debt by chance, and a turn not used passes. All that sent their one attempt at once
-// would be the budget many times over.
+// for any window and all routers together; this one keeps to its part of it as a credit that accrues with
+// time and may be overdrawn by one attempt. Where a part is far below one attempt routers take turns, lest
+// all send theirs at once: they start in debt by chance, and a turn not used passes.
 func (r *Router) affords(t *target) bool {
 	if !t.Colds || t.role == origin {
 		return true
@@ -767,7 +768,7 @@
 	}
 	warmth := float64(max(0, r.now-t.Cold-f.Within)) / float64(f.WarmWithin)
 	capacity := f.ColdFrom + (1-f.ColdFrom)*min(1, warmth)
-	// At least one attempt of the longest class a window for all routers: with no history one can still try.
+	// At least one attempt of the longest class a window for all routers, where there is no history.
 	least := slices.Max(r.meanSend) / float64(r.sharers(t)) / f.Within.Seconds()
 	part := max(budgetSafety*f.Multiple*capacity*r.linkPart(t), least)
 	most := part * f.Within.Seconds() * budgetBurst
@@ -785,8 +786,7 @@
 	t.Cold, t.Colds, t.Credit, t.CreditAt = from, true, -unit(r.rng)*slices.Max(r.meanSend), r.now
 }
 
-// linkPart is this router's part of a target's link, in transfers: as told, else the most that its role
-// was seen to serve.
+// linkPart is this router's part of a target's link, in transfers: as told, else the most its role served.
 func (r *Router) linkPart(t *target) float64 {
 	if r.set.WeightsTold && t.Weight > 0 {
 		return t.Weight / float64(r.sharers(t))
@@ -794,8 +794,8 @@
 	return r.linkSeen[t.role]
 }
 
-// served books an answer on what each of a role, ready or cold, serves this router. Counting what was sent,
-// a jam with all its repeats would pass for a large link, and those that start into it be pushed over.
+// served books an answer on what each of a role, ready or cold, serves this router. If what was sent counted,
+// a jam would pass for a large link, and those that start into it be pushed over.
 func (r *Router) served(t *target, cost float64) {
 	peers := r.caches
 	if t.role == parent {
