Settings are checked whole at the start and refused in one line with their place

A settings object with a class list shorter than the classes, an effect or group of unknown name, a keyed class without a window, a name twice or a place outside its list was taken: the last class of a short Uncached could be kept, an unknown group was taken for the widest, over which repeats are sent anywhere, and no connection time meant that one which never comes up was waited for for minutes. A whole number written 1500000.0 or 1.5e6 ended the start.

Now internal/config refuses the first defect with its place, wire reads numbers in any form, and absent figures have a bound: 32 streams, 400 ms to connect, 6 s for purges, the deadline for an aim. An operator's file says direct and joins, and a deduplicated class needs its window.

Tests in wire and internal/config; every field of a platform's file absent or of seven other types in turn: no crash, one line, and what is taken a router starts from.

--- a/internal/config/alone.go
+++ b/internal/config/alone.go
@@ -37,7 +37,7 @@
 	}
 	set := policy.Settings{
 		Rank: p.Rank, Zone: slices.Index(s.Zones, p.Zone), ParentKind: slices.Index(s.Kinds, s.ParentKind),
-		OriginKind: slices.Index(s.Kinds, s.OriginKind), Details: policy.DetailAll, FlowKBPerS: s.Flow,
+		OriginKind: slices.Index(s.Kinds, s.OriginKind), MayPassBy: s.Direct, SharesFills: s.Joins, Details: policy.DetailAll, FlowKBPerS: s.Flow,
 		Siblings:   map[string]policy.Reach{"none": policy.ReachNone, "location": policy.ReachLocation, "any": policy.ReachAny}[s.Siblings],
 		PurgeTakes: ms(s.PurgeTakes), PurgeNotice: ms(s.PurgeGrace), DrainGrace: ms(s.DrainGrace),
 		CacheFall: fall(s.Cold), ParentFall: fall(s.ParentCold), AnswerSlack: ms(s.AnswerSlack), WeightsTold: true,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,6 +2,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -34,8 +35,8 @@
 	Name, Listen, Seed, Board, Console string
 	Limits                             struct {
 		Cores    float64
-		MemoryMB int `json:"memory_mb"`
-		Sockets  int
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  float64
 	}
 	Known, Settings json.RawMessage
 }
@@ -61,11 +62,14 @@
 func Parse(raw []byte, getenv func(string) string) (*Config, error) {
 	var f file
 	if err := json.Unmarshal(raw, &f); err != nil {
-		return nil, err
+		return nil, plain(raw, err)
 	}
 	c := &Config{
 		Name: f.Name, Listen: f.Listen, Board: f.Board, Console: f.Console,
-		Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB), Sockets: int(f.Limits.Sockets),
+	}
+	if err := least("limits.", map[string]float64{"cores": c.Cores, "memory_mb": f.Limits.MemoryMB, "sockets": f.Limits.Sockets}); err != nil {
+		return nil, err
 	}
 	if v := getenv("LB_NAME"); v != "" {
 		c.Name = v
@@ -89,23 +93,19 @@
 	if c.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
 		return nil, err
 	}
-	var more struct {
-		Grades       []struct{ Name string }
-		Zones, Kinds []string
-		Bounds       struct {
-			StreamsPerConn, MostHeld     int
-			ConnIdleUs, ConnectTimeoutUs float64
-		}
+	var t told
+	if err := json.Unmarshal(f.Settings, &t); err != nil {
+		return nil, fmt.Errorf("settings.%w", plain(f.Settings, err))
 	}
-	if err := json.Unmarshal(f.Settings, &more); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+	if err := t.check(); err != nil {
+		return nil, err
 	}
-	for _, g := range more.Grades {
+	for _, g := range t.Grades {
 		c.Classes = append(c.Classes, g.Name)
 	}
-	b := more.Bounds
-	c.StreamsPerConn, c.MostHeld, c.ConnIdle, c.Connect = b.StreamsPerConn, b.MostHeld, b.ConnIdleUs/1e3, b.ConnectTimeoutUs/1e3
-	c.Names = board.Names{Zones: more.Zones, Kinds: more.Kinds}
+	c.StreamsPerConn, c.MostHeld = cmp.Or(int(t.Bounds.StreamsPerConn), usualStreams), int(t.Bounds.MostHeld)
+	c.ConnIdle, c.Connect = t.Bounds.ConnIdleUs/1e3, cmp.Or(t.Bounds.ConnectTimeoutUs/1e3, usualConnect)
+	c.Names = board.Names{Zones: t.Zones, Kinds: t.Kinds}
 	if c.Known, c.Rev, err = board.Known(f.Known, c.Names); err != nil {
 		return nil, err
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -93,6 +93,8 @@
 	Flow        float64            `json:"flow_kb_per_s"`
 	Siblings    string             `json:"siblings"` // none, location or any
 	SecondCopy  bool               `json:"second_copies"`
+	Direct      bool               `json:"direct"` // a request may go straight to a parent or the origin
+	Joins       bool               `json:"joins"`  // a request may join a fill that is under way
 	DrainGrace  float64            `json:"drain_grace_ms"`
 	PurgeGrace  float64            `json:"purge_grace_ms"`
 	PurgeTakes  float64            `json:"purge_takes_ms"`
@@ -525,6 +527,9 @@
 		c.within("worth", &k.Worth, 1, 0, 1e6)
 		c.within("late_value", &k.LateValue, 0.1, 0, 1)
 		c.within("window_ms", &k.Window, 0, 0, day)
+		if k.Effect == "deduplicated" && k.Window == 0 {
+			doc.Fail(c.at("window_ms"), "a deduplicated class needs window_ms: for how long repeats are discarded")
+		}
 		c.within("fresh_ms", &k.Fresh, 0, 0, 365*day)
 		c.within("stale_ms", &k.Stale, 0, 0, 365*day)
 		c.within("stale_worth", &k.StaleWorth, 0.7, 0, 1)
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -32,6 +32,12 @@
 	require.Equal(t, 2, c.Settings.ParentKind)
 	require.Equal(t, 2, c.Settings.Routers)
 	require.NotZero(t, c.Seed)
+	require.False(t, c.Settings.MayPassBy || c.Settings.SharesFills)
+	o, err = config.ParseOperator("o", []byte(strings.Replace(example(t), `"siblings"`, `"direct": true, "joins": true, "siblings"`, 1)))
+	require.NoError(t, err)
+	c, err = config.Read(func(string) string { return "" }, o)
+	require.NoError(t, err)
+	require.True(t, c.Settings.MayPassBy && c.Settings.SharesFills, "a deployment whose requests may go straight up, or join a fill")
 	raw, err := os.ReadFile("../../deploy/servers.example.jsonc")
 	require.NoError(t, err)
 	d, bad := serverlist.Parse([]serverlist.File{{Name: "l", Data: raw}}, c.Facts(0.34))
@@ -80,6 +86,7 @@
 		{`"stretch": 2, `, `"stretch": -2, `, "o:39:52: stretch -2 is not 0 to 1000"},
 		{`"name": "asset"`, `"name": "replay"`, `o:39:14: class "replay" is empty, named twice or can't be written in a field`},
 		{`"effect": "at_most_once"`, `"effect": "once"`, `o:41:89: effect "once" is none of idempotent, deduplicated, at_most_once`},
+		{`"effect": "at_most_once"`, `"effect": "deduplicated"`, "o:41:5: a deduplicated class needs window_ms: for how long repeats are discarded"},
 		{`"uncached": true}`, `"uncached": true, "fresh_ms": 5}`, "o:41:135: an uncached class keeps nothing that could be fresh"},
 		{`"most_dropped": 0.34`, `"most_dropped": 34`, "o:50:21: most_dropped 34 is not 0 to 1"},
 		{`"listen": "127.0.20.100:4101"`, `"listen": "10.0.0.1:4101"`, `o:54:23: listen "10.0.0.1:4101" is not on loopback`},
--- /dev/null
+++ b/internal/config/settings_test.go
@@ -0,0 +1,147 @@
+package config_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/config"
+	"ravenwheel/policy"
+)
+
+// platform is what the platform tells of a deployment with a keyed class, links that are told, no cells and direct
+// requests: all that the first one had otherwise.
+const platform = `{"name":"n0","listen":"127.0.0.1:4100","seed":"8c1f30d27a5be964","board":"127.0.0.1:9092",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "known":{"rev":1,"notices":[{"rev":1,"pool":{"reset":true,"instances":[
+  {"instanceId":"s-00000001","hostPort":"10.1.0.9:4100","zone":"gate-1","machineType":"small","lifecycle":"up","weight":9}]}}]},
+ "settings":{"NInstances":3,"Rank":1,"Zone":2,"Zones":["north","south","gate-1","gate-2"],"Kinds":["small","parent","origin"],
+  "Weights":"nominal",
+  "Bounds":{"Cancel":true,"StreamsPerConn":32,"MostTries":8,"ConnIdleUs":30000000,"ConnectTimeoutUs":400000,"MostHeld":21419},
+  "Rules":{"DrainGraceUs":2000000,"FallMultiple":2.5,"FallUs":1500000,"WarmWithinUs":17000000,"ColdFrom":0.2},
+  "Grades":[{"Name":"tiles","Effect":"idempotent","Group":"all","TargetUs":500000,"DeadlineUs":6000000,"AimStretch":2,"Worth":2},
+   {"Name":"reports","Effect":"deduplicated","Group":"all","WindowUs":6000000,"TargetUs":600000,"DeadlineUs":3000000,"Worth":3}],
+  "FamilyInfo":{"ClassFreshUs":[0,0],"InParts":[false,false],"Uncached":[false,true],"ZoneBalancers":[0,0,2,1],"HomeHub":[0,1,0,1],
+   "ZoneLinkKbPerS":[0,0,91000.5,45000],"SecondTierKind":1,"RootKind":2,"MayPassBy":true,"SharesFills":true,"FlowKbPerS":7800,
+   "PurgeTakesUs":6000000,"NoticeTimeUs":1000000}}}`
+
+func parse(text string) (*config.Config, error) {
+	return config.Parse([]byte(text), func(string) string { return "" })
+}
+
+func TestParse(t *testing.T) {
+	c, err := parse(platform)
+	require.NoError(t, err)
+	require.Equal(t, []string{"tiles", "reports"}, c.Classes)
+	require.Equal(t, policy.Keyed, c.Settings.Classes[1].Effect)
+	require.True(t, c.Settings.WeightsTold && c.Settings.MayPassBy && c.Settings.SharesFills)
+	require.Equal(t, []float64{0, 0, 91000.5, 45000}, c.Settings.LinkKBPerS)
+	require.Equal(t, 32, c.StreamsPerConn)
+	require.Equal(t, 400.0, c.Connect)
+
+	// Numbers in another form are the same numbers.
+	other := strings.NewReplacer("192", "192.0", "1024", "1.024e3", "6000000", "6e6", `"Zone":2`, `"Zone":2.0`, ":32,", ":32.0,").Replace(platform)
+	again, err := parse(other)
+	require.NoError(t, err)
+	require.Equal(t, c, again)
+
+	// What is absent has a bound all the same: without, a connection that never comes up would be waited for for minutes,
+	// and a connection would carry a single attempt.
+	bare := strings.Replace(strings.Replace(platform, `"ConnectTimeoutUs":400000,`, "", 1), `"StreamsPerConn":32,`, "", 1)
+	c, err = parse(bare)
+	require.NoError(t, err)
+	require.Equal(t, 32, c.StreamsPerConn)
+	require.Equal(t, 400.0, c.Connect)
+}
+
+// Each change of the settings is refused with this one line.
+func TestSettingsRefused(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`"Grades":[`, `"Grads":[`, "settings.Grades: there are no classes"},
+		{`"DeadlineUs":6000000`, `"DeadlineUs":0`, "settings.Grades[0].DeadlineUs: 0 is not above 0"},
+		{`,"DeadlineUs":3000000`, ``, "settings.Grades[1].DeadlineUs: 0 is not above 0"},
+		{`"Effect":"idempotent"`, `"Effect":"safe"`, `settings.Grades[0].Effect: "safe" is none of idempotent, deduplicated, at_most_once`},
+		{`"Effect":"deduplicated","Group":"all"`, `"Effect":"deduplicated","Group":"hall"`, `settings.Grades[1].Group: unknown group "hall"`},
+		{`"WindowUs":6000000,`, ``, "settings.Grades[1].WindowUs: 0 is not above 0, and repeats of the class are discarded for so long"},
+		{`"Name":"reports"`, `"Name":"tiles"`, `settings.Grades[1].Name: class "tiles" is empty, named twice or can't be written in a field`},
+		{`"Name":"reports"`, `"Name":"a=b"`, `settings.Grades[1].Name: class "a=b" is empty, named twice or can't be written in a field`},
+		{`"Worth":3`, `"Worth":-3`, "settings.Grades[1].Worth: -3 is below 0"},
+		{`"ClassFreshUs":[0,0]`, `"ClassFreshUs":[0]`, "settings.FamilyInfo.ClassFreshUs: 1 values for 2 classes"},
+		{`"Uncached":[false,true]`, `"Uncached":[false]`, "settings.FamilyInfo.Uncached: 1 values for 2 classes"},
+		{`"InParts":[false,false]`, `"InParts":[false,false,true]`, "settings.FamilyInfo.InParts: 3 values for 2 classes"},
+		{`"ZoneBalancers":[0,0,2,1]`, `"ZoneBalancers":[0,0,2]`, "settings.FamilyInfo.ZoneBalancers: 3 values for 4 zones"},
+		{`"HomeHub":[0,1,0,1]`, `"HomeHub":[0,1]`, "settings.FamilyInfo.HomeHub: 2 values for 4 zones"},
+		{`"HomeHub":[0,1,0,1]`, `"HomeHub":[0,1,0,4]`, "settings.FamilyInfo.HomeHub[3]: 4 is no place in 4 zones"},
+		{`"ZoneLinkKbPerS":[0,0,`, `"ZoneLinkKbPerS":[0,`, "settings.FamilyInfo.ZoneLinkKbPerS: 3 values for 4 zones"},
+		{`"Zone":2`, `"Zone":4`, "settings.Zone: 4 is no place in 4 zones"},
+		{`"south"`, `"north"`, `settings.Zones[1]: "north" is named twice`},
+		{`"RootKind":2`, `"RootKind":3`, "settings.FamilyInfo.RootKind: 3 is no place in 3 kinds"},
+		{`"RootKind":2`, `"RootKind":1`, "settings.FamilyInfo.RootKind: parents and the origin are of kinds of their own, both are 1"},
+		{`"FallUs":1500000`, `"FallUs":-1`, "settings.Rules.FallUs: -1 is below 0"},
+		{`"MostTries":8`, `"MostTries":-8`, "settings.Bounds.MostTries: -8 is below 0"},
+		{`"DeadlineUs":6000000`, `"DeadlineUs":"6 s"`, "settings.Grades.DeadlineUs: string found, number wanted"},
+		{`"StreamsPerConn":32`, `"StreamsPerConn":"32"`, "settings.Bounds.StreamsPerConn: string found where it can't stand"},
+		{`"Zones":["north"`, `"Zones":[7`, "settings.Zones: number found where it can't stand"},
+		{`"memory_mb":192`, `"memory_mb":"192"`, "Limits.memory_mb: string found where it can't stand"},
+		{`"sockets":1024`, `"sockets":-1`, "limits.sockets: -1 is below 0"},
+		{`"cores":1.0,`, `"cores":1.0,,`, "2:24: invalid character ',' looking for beginning of object key string"},
+		{`"settings":`, `"setings":`, "settings: unexpected end of JSON input"},
+		{`"seed":"8c1f30d27a5be964",`, ``, `seed "" is not a hexadecimal number`},
+		{`"machineType":"small"`, `"machineType":"tiny"`, `known: notice 1: s-00000001: unknown lifecycle "up", zone "gate-1" or machineType "tiny"`},
+	} {
+		require.Contains(t, platform, c.from)
+		_, err := parse(strings.Replace(platform, c.from, c.to, 1))
+		require.EqualError(t, err, c.want, c.to)
+	}
+}
+
+// No configuration that is cut short is taken, and each is refused in one line.
+func TestCutShort(t *testing.T) {
+	for n := range len(platform) {
+		_, err := parse(platform[:n])
+		require.Error(t, err, n)
+		require.NotContains(t, err.Error(), "\n")
+	}
+	// Nor does one crash of which any one field is absent, or of another type.
+	var root any
+	require.NoError(t, json.Unmarshal([]byte(platform), &root))
+	visit(root, func() {
+		raw, err := json.Marshal(root)
+		require.NoError(t, err)
+		c, err := parse(string(raw))
+		if err != nil {
+			require.NotContains(t, err.Error(), "\n")
+			return
+		}
+		_, err = policy.New(c.Settings, c.Seed)
+		require.NoError(t, err, "what is taken, a router starts from")
+	})
+}
+
+// visit calls try with each field below at in turn absent, null, or of another type.
+func visit(at any, try func()) {
+	switch x := at.(type) {
+	case map[string]any:
+		for k, v := range x {
+			delete(x, k)
+			try()
+			for _, other := range []any{nil, "text", -1.5, 1e300, true, []any{}, []any{"text"}, map[string]any{}} {
+				x[k] = other
+				try()
+			}
+			x[k] = v
+			visit(v, try)
+		}
+	case []any:
+		for i, v := range x {
+			for _, other := range []any{nil, "text", -1.5, 1e300, true, []any{}, map[string]any{}} {
+				x[i] = other
+				try()
+			}
+			x[i] = v
+			visit(v, try)
+		}
+	}
+}
--- a/wire/settings.go
+++ b/wire/settings.go
@@ -2,47 +2,55 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math"
+	"reflect"
+	"time"
 
 	"ravenwheel/policy"
 )
 
-// env holds the settings as they come; keys that it does not list are skipped.
+// env holds the settings as they come; keys that it does not list are skipped. Whole numbers are read as any number is:
+// nothing says that a writer of JSON puts 1500000 where another puts 1500000.0 or 1.5e6.
 type env struct {
-	NInstances, Rank, Zone int
+	NInstances, Rank, Zone float64
 	Discovery, Weights     string
-	TickUs                 int64
+	TickUs                 float64
 	Bounds                 struct {
-		Cancel, RetryAfter                bool
-		MostTries                         int
-		MaxRetryAfterUs, ConnectTimeoutUs int64
+		Cancel, RetryAfter                           bool
+		MostTries, MaxRetryAfterUs, ConnectTimeoutUs float64
 	}
 	Rules struct {
-		AnswerSlackUs, AskWithinUs, DrainGraceUs, FallUs, WarmWithinUs int64
+		AnswerSlackUs, AskWithinUs, DrainGraceUs, FallUs, WarmWithinUs float64
 		ColdFrom, FallMultiple                                         float64
 	}
 	Grades []struct {
-		TargetUs, DeadlineUs, WindowUs int64
+		TargetUs, DeadlineUs, WindowUs float64
 		AimStretch, LateValue, Worth   float64
 		Effect, Group                  string
 		Stream                         bool
 	}
 	FamilyInfo struct {
-		ClassFreshUs, StaleForUs       []int64
+		ClassFreshUs, StaleForUs       []float64
 		ClassStaleWorth                []float64
 		InParts, Uncached              []bool
 		MayPassBy, SharesFills         bool
 		FlowKbPerS, OriginFallMultiple float64
-		OriginBearsUs, ParentWarmsInUs int64
+		OriginBearsUs, ParentWarmsInUs float64
 		ParentColdFrom, ParentBreaksAt float64
-		RootKind, SecondTierKind       *int
-		PurgeTakesUs, NoticeTimeUs     int64
+		RootKind, SecondTierKind       *float64
+		PurgeTakesUs, NoticeTimeUs     float64
 		PeersFill, NoteLevel           string
-		ZoneBalancers, HomeHub         []int
+		ZoneBalancers, HomeHub         []float64
 		ZoneLinkKbPerS                 []float64
 	}
 }
 
+// usualPurge: where it is not told how long copies from before a purge may lie about. Guards against a purge that would not
+// be heeded at all: shorter misses old copies, longer fetches some anew for nothing.
+const usualPurge = 6 * time.Second
+
 var (
 	effects = map[string]policy.Effect{
 		"idempotent": policy.Safe, "deduplicated": policy.Keyed, "at_most_once": policy.Unsafe,
@@ -70,47 +78,91 @@
 func DecodeSettings(raw json.RawMessage) (policy.Settings, error) {
 	var e env
 	if err := json.Unmarshal(raw, &e); err != nil {
-		return policy.Settings{}, fmt.Errorf("settings: %w", err)
+		return policy.Settings{}, plain(err)
 	}
 	f := e.FamilyInfo
-	kind := func(k *int) int {
+	kind := func(k *float64) int {
 		if k == nil {
 			return -1
 		}
-		return *k
+		return whole(*k)
 	}
 	s := policy.Settings{
-		Rank: e.Rank, Routers: e.NInstances, Zone: e.Zone, ZoneRouters: f.ZoneBalancers, HomeHub: f.HomeHub,
+		Rank: whole(e.Rank), Routers: whole(e.NInstances), Zone: whole(e.Zone),
+		ZoneRouters: wholes(f.ZoneBalancers), HomeHub: wholes(f.HomeHub),
 		LinkKBPerS: f.ZoneLinkKbPerS, ParentKind: kind(f.SecondTierKind), OriginKind: kind(f.RootKind),
 		MayPassBy: f.MayPassBy, Siblings: reaches[f.PeersFill], SharesFills: f.SharesFills,
 		Details: details[f.NoteLevel], FlowKBPerS: f.FlowKbPerS,
-		PurgeTakes: us(f.PurgeTakesUs), PurgeNotice: us(f.NoticeTimeUs),
-		OriginMultiple: f.OriginFallMultiple, OriginBears: us(f.OriginBearsUs),
-		AskDiscovery: e.Discovery == "ask", AskWithin: us(e.Rules.AskWithinUs), DrainGrace: us(e.Rules.DrainGraceUs),
+		PurgeTakes: span(f.PurgeTakesUs), PurgeNotice: span(f.NoticeTimeUs),
+		OriginMultiple: f.OriginFallMultiple, OriginBears: span(f.OriginBearsUs),
+		AskDiscovery: e.Discovery == "ask", AskWithin: span(e.Rules.AskWithinUs), DrainGrace: span(e.Rules.DrainGraceUs),
 		CacheFall: policy.Fall{
-			ColdFrom: e.Rules.ColdFrom, WarmWithin: us(e.Rules.WarmWithinUs),
-			Multiple: e.Rules.FallMultiple, Within: us(e.Rules.FallUs),
+			ColdFrom: e.Rules.ColdFrom, WarmWithin: span(e.Rules.WarmWithinUs),
+			Multiple: e.Rules.FallMultiple, Within: span(e.Rules.FallUs),
 		},
 		ParentFall: policy.Fall{
-			ColdFrom: f.ParentColdFrom, WarmWithin: us(f.ParentWarmsInUs),
-			Multiple: f.ParentBreaksAt, Within: us(e.Rules.FallUs),
+			ColdFrom: f.ParentColdFrom, WarmWithin: span(f.ParentWarmsInUs),
+			Multiple: f.ParentBreaksAt, Within: span(e.Rules.FallUs),
 		},
-		AnswerSlack: us(e.Rules.AnswerSlackUs),
+		AnswerSlack: span(e.Rules.AnswerSlackUs),
 		WeightsTold: e.Weights == "nominal" || e.Weights == "rough",
-		MaxTries:    e.Bounds.MostTries, Cancel: e.Bounds.Cancel, RetryAfter: e.Bounds.RetryAfter,
-		MaxRetryAfter: us(e.Bounds.MaxRetryAfterUs), ConnectWithin: us(e.Bounds.ConnectTimeoutUs), Tick: us(e.TickUs),
+		MaxTries:    whole(e.Bounds.MostTries), Cancel: e.Bounds.Cancel, RetryAfter: e.Bounds.RetryAfter,
+		MaxRetryAfter: span(e.Bounds.MaxRetryAfterUs), ConnectWithin: span(e.Bounds.ConnectTimeoutUs), Tick: span(e.TickUs),
+	}
+	if s.PurgeTakes <= 0 {
+		s.PurgeTakes = usualPurge
 	}
 	for i, g := range e.Grades {
 		effect, ok := effects[g.Effect]
 		if !ok {
 			effect = noEffect
 		}
+		group, ok := groups[g.Group]
+		if !ok && g.Group != "" && effect == policy.Keyed {
+			// Guards against a group of unknown name that would be taken for the widest, over which repeats are sent anywhere.
+			return policy.Settings{}, fmt.Errorf("settings.Grades[%d].Group: unknown group %q", i, g.Group)
+		}
+		if g.TargetUs <= 0 {
+			g.TargetUs = g.DeadlineUs // without an aim no answer is late before the deadline
+		}
 		s.Classes = append(s.Classes, policy.Class{
-			Target: us(g.TargetUs), AimStretch: g.AimStretch, Deadline: us(g.DeadlineUs), Worth: g.Worth,
-			LateValue: g.LateValue, Effect: effect, Group: groups[g.Group], Window: us(g.WindowUs), Stream: g.Stream,
-			Uncached: at(f.Uncached, i), InParts: at(f.InParts, i), Fresh: us(at(f.ClassFreshUs, i)),
-			StaleFor: us(at(f.StaleForUs, i)), StaleWorth: at(f.ClassStaleWorth, i),
+			Target: span(g.TargetUs), AimStretch: g.AimStretch, Deadline: span(g.DeadlineUs), Worth: g.Worth,
+			LateValue: g.LateValue, Effect: effect, Group: group, Window: span(g.WindowUs), Stream: g.Stream,
+			Uncached: at(f.Uncached, i), InParts: at(f.InParts, i), Fresh: span(at(f.ClassFreshUs, i)),
+			StaleFor: span(at(f.StaleForUs, i)), StaleWorth: at(f.ClassStaleWorth, i),
 		})
 	}
 	return s, nil
 }
+
+// longestSpan bounds a time that is told, in microseconds: a hundred days.
+const longestSpan = 100 * 24 * 3600 * 1e6
+
+// span is a time told in microseconds.
+func span(n float64) time.Duration {
+	return us(int64(math.Round(max(-longestSpan, min(n, longestSpan)))))
+}
+
+// whole is a count or a place.
+func whole(n float64) int { return int(math.Round(max(math.MinInt32, min(n, math.MaxInt32)))) }
+
+func wholes(list []float64) (out []int) {
+	for _, n := range list {
+		out = append(out, whole(n))
+	}
+	return out
+}
+
+// forms are what JSON calls what a value is read into.
+var forms = map[reflect.Kind]string{
+	reflect.Float64: "number", reflect.String: "string", reflect.Bool: "bool", reflect.Slice: "array", reflect.Struct: "object",
+}
+
+// plain names the place of what can't be read in one line.
+func plain(err error) error {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Errorf("settings.%s: %s found, %s wanted", wrong.Field, wrong.Value, forms[wrong.Type.Kind()])
+	}
+	return fmt.Errorf("settings: %w", err)
+}
--- /dev/null
+++ b/wire/settings_test.go
@@ -0,0 +1,78 @@
+package wire
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"ravenwheel/policy"
+)
+
+// The same settings, however a writer of JSON puts whole numbers.
+func TestNumbersOfAnyForm(t *testing.T) {
+	decode := func(numbers ...string) policy.Settings {
+		text := `{"NInstances":#,"Zone":#,"Grades":[{"DeadlineUs":#,"WindowUs":#,"Effect":"deduplicated"}],
+			"Bounds":{"MostTries":#},"Rules":{"FallUs":#},"FamilyInfo":{"RootKind":#,"ZoneBalancers":[#],"PurgeTakesUs":#}}`
+		for i := range 9 {
+			text = strings.Replace(text, "#", numbers[i%len(numbers)], 1)
+		}
+		s, err := DecodeSettings([]byte(text))
+		if err != nil {
+			t.Fatalf("%s: %v", text, err)
+		}
+		return s
+	}
+	want := decode("3")
+	if want.Routers != 3 || want.Classes[0].Deadline != 3*time.Microsecond || want.ZoneRouters[0] != 3 {
+		t.Fatalf("got %+v", want)
+	}
+	if got := decode("3.0", "3e0", "0.3E1"); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+// What is absent, or 0, stands for the safe side of what it could be.
+func TestAbsent(t *testing.T) {
+	s, err := DecodeSettings([]byte(`{"Grades":[{"DeadlineUs":5000000},{"DeadlineUs":5000000,"TargetUs":1000000}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Classes[0].Target != 5*time.Second || s.Classes[1].Target != time.Second {
+		t.Errorf("aims %v and %v", s.Classes[0].Target, s.Classes[1].Target)
+	}
+	if s.PurgeTakes != 6*time.Second {
+		t.Errorf("purges are heeded for %v", s.PurgeTakes)
+	}
+	if s.ParentKind != -1 || s.OriginKind != -1 || s.WeightsTold || s.MayPassBy || s.SharesFills || s.Classes[0].Fresh != 0 {
+		t.Errorf("got %+v", s)
+	}
+}
+
+// A group of unknown name is not taken for the widest; of a class without keys it says nothing.
+func TestUnknownGroup(t *testing.T) {
+	_, err := DecodeSettings([]byte(`{"Grades":[{"Effect":"idempotent","Group":"hall"},{"Effect":"deduplicated","Group":"hall"}]}`))
+	if err == nil || err.Error() != `settings.Grades[1].Group: unknown group "hall"` {
+		t.Errorf("got %v", err)
+	}
+	if _, err = DecodeSettings([]byte(`{"Grades":[{"Effect":"idempotent","Group":"hall"},{"Effect":"deduplicated"}]}`)); err != nil {
+		t.Error(err)
+	}
+}
+
+// What can't be read is told with its place, in one line.
+func TestSettingsOfOtherTypes(t *testing.T) {
+	for text, want := range map[string]string{
+		`{"Grades":[{"DeadlineUs":"3s"}]}`:      "settings.Grades.DeadlineUs: string found, number wanted",
+		`{"FamilyInfo":{"Uncached":[0]}}`:       "settings.FamilyInfo.Uncached: number found, bool wanted",
+		`{"Bounds":{"MostTries":[]}}`:           "settings.Bounds.MostTries: array found, number wanted",
+		`{"FamilyInfo":{"ZoneBalancers":{}}}`:   "settings.FamilyInfo.ZoneBalancers: object found, array wanted",
+		`{"Weights":{},"Grades":[{"Worth":1}]}`: "settings.Weights: object found, string wanted",
+		`[]`:                                    "settings.: array found, object wanted",
+		`{`:                                     "settings: unexpected end of JSON input",
+	} {
+		if _, err := DecodeSettings([]byte(text)); err == nil || err.Error() != want {
+			t.Errorf("%s: got %v, want %s", text, err, want)
+		}
+	}
+}
