Repeats of a keyed request keep to their window on the wire

Cause: core.send bounded a decision's age by the graces for drains and purges alone. A repeat decided on within the class's window could wait up to 500 ms for its connection and be written past it, where the servers no longer discard it; the module, which looks at the window when it decides, can't see that. And a request turned away unseen got advice where the settings give clients none.

Change: a keyed attempt's SendBy is bounded by the first attempt that may have run plus the window; Refuse and the bound on open requests heed RetryAfter. Refusals move to a file of their own.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -144,6 +144,7 @@
 	sent  float64
 	until float64
 	open  bool
+	ran   bool // it ended, and may have run
 	abort func() bool
 }
 
@@ -208,14 +209,6 @@
 // Unanswered books a connection that a front closed before it had any answer.
 func (c *Core) Unanswered() { c.Counters.Unanswered.Add(1) }
 
-// Refuse turns a request away that its front does not bring in, as the proxy is being emptied: it never ran.
-func (c *Core) Refuse() Answer {
-	for _, n := range []*atomic.Int64{&c.Counters.Requests, &c.Counters.Refused, &c.Counters.Unsent} {
-		n.Add(1)
-	}
-	return Answer{Verdict: Refused, Backoff: clock.Ms(c.set.MaxRetryAfter)}
-}
-
 // ClassOf finds a class by its name; -1 if there is none.
 func (c *Core) ClassOf(name string) int {
 	for i, n := range c.classes {
@@ -303,7 +296,7 @@
 	case len(c.lives) >= int(c.mostHeld.Load()):
 		c.Counters.Refused.Add(1)
 		c.Counters.Unsent.Add(1)
-		return nil, Answer{Verdict: Refused, Backoff: clock.Ms(c.set.MaxRetryAfter)}
+		return nil, c.turnAway()
 	}
 	l := &life{q: q, in: make(chan any, c.mailbox())}
 	c.lives[q.ID] = l
@@ -391,6 +384,10 @@
 	if l.q.SendBy > 0 {
 		sendBy = min(sendBy, l.q.SendBy)
 	}
+	class := &c.set.Classes[l.q.Class]
+	if class.Effect == policy.Keyed {
+		sendBy = min(sendBy, l.repeatBy(clock.Ms(class.Window)))
+	}
 	no := len(l.attempts)
 	a := &attempt{to: g.Cache, sent: now, until: now + ttl, open: true}
 	l.attempts = append(l.attempts, a)
@@ -401,7 +398,7 @@
 	a.abort = c.up.Send(Attempt{
 		ID: l.q.ID, Class: c.classes[l.q.Class], Object: l.q.Object, Part: l.q.Part, Holds: l.q.Holds, Key: l.q.Key,
 		Body: l.q.Body, To: g.Cache, Source: g.Source, TTL: ttl, Age: clock.Ms(g.Age), Keep: g.Keep, How: g.How,
-		SendBy: sendBy, Once: c.set.Classes[l.q.Class].Effect == policy.Unsafe,
+		SendBy: sendBy, Once: class.Effect == policy.Unsafe,
 	}, func(e End) { l.in <- ended{no, e} })
 }
 
@@ -410,6 +407,7 @@
 	a := l.attempts[e.no]
 	invariant.Check(a.open, "an attempt ends once")
 	a.open = false
+	a.ran = mayHaveRun(e.Result)
 	l.sent = l.sent || e.Sent
 	if c.Tally != nil {
 		c.Tally.ended(a.to, e.End, c.clock.Now()-a.sent, c.target(l.q.Class))
