Out of descriptors blames no cache server, and an answer's figures are figures

Cause: upstream.run took a connection that could not be made for want of descriptors, ports or memory of its own as one that could not be reached, which marks the server down and, once back, cold. readAnswer took took=nan and the like as they came; the module compares them, and a NaN becomes a time far below 0, by which a source counts as unreached.

Change: such a dial ends as moot: it never ran and says nothing of the server. Figures that are none, negative or beyond 2e6 count as not told.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -209,7 +209,7 @@
 		// Guards against a cache server that holds few connections, or whose new ones come up late: with others of ours up,
 		// or answering meanwhile, it is there. Taken as one that could not be reached, it was passed over for seconds and
 		// came back as cold.
-		if errors.Is(err, syscall.ECONNRESET) && k.pool.up() || errors.As(err, &late) && late.Timeout() && k.pool.heardSince(began) {
+		if ours(err) || errors.Is(err, syscall.ECONNRESET) && k.pool.up() || errors.As(err, &late) && late.Timeout() && k.pool.heardSince(began) {
 			result = policy.Moot
 		}
 		k.end(result, result)
@@ -247,6 +247,18 @@
 	}
 }
 
+// ours tells whether a connection could not be made for want of something of this machine's own: descriptors, ports or memory.
+// It says nothing of who listens there. Guards against a proxy that, out of descriptors, takes one sound cache server after
+// another for dead.
+func ours(err error) bool {
+	for _, want := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
+		if errors.Is(err, want) {
+			return true
+		}
+	}
+	return false
+}
+
 // rawOf gives the socket of a connection that was dialled, which is not kept where it has none.
 func rawOf(nc net.Conn) (raw syscall.RawConn, err error) {
 	if sc, ok := nc.(syscall.Conn); ok {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -244,6 +244,33 @@
 		up expect r1 ok`)
 }
 
+// Out of descriptors, ports or memory no connection can be made. What waited for it never ran, and the cache is not blamed.
+func TestOutOfDescriptors(t *testing.T) {
+	for _, want := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL} {
+		var short atomic.Bool
+		dial := func(network, addr string, wait time.Duration) (net.Conn, error) {
+			if short.Load() {
+				return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", want)}
+			}
+			return net.DialTimeout(network, addr, wait)
+		}
+		clk, cache := clock.Manual(0), scenario.Listen(t)
+		actors := map[string]scenario.Actor{"up": scenario.Attempt(newPools(clk, cache, upstream.Limits{Dial: dial})), "s": cache}
+		short.Store(true)
+		scenario.Run(t, clk, actors, `
+			up send r1
+			up expect r1 moot
+			up send w1 once
+			up expect w1 moot`)
+		short.Store(false)
+		scenario.Run(t, clk, actors, `
+			up send r2
+			s expect fetch r2 * -
+			s send r2 served -
+			up expect r2 ok`)
+	}
+}
+
 // A cache that holds one connection of ours and resets the rest: what finds no place is told so and blames nobody, the
 // one connection serves on, and each attempt costs three dials at most.
 func TestFewConnections(t *testing.T) {
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -82,6 +82,19 @@
 	return resp.AppendBody(make([]byte, 0, 256+len(a.Body)), a.Body, "fetch", a.ID, string(f))
 }
 
+// mostNumber bounds what an answer may tell in numbers: in ms it is half an hour.
+const mostNumber = 2e6
+
+// number reads a figure of an answer. One that is none, or below 0 or beyond all measure, counts as not told: the module
+// reckons with it as it comes.
+func number(s string) (v float64, ok bool) {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= 0 && v <= mostNumber) {
+		return 0, false
+	}
+	return v, true
+}
+
 // readAnswer reads one answer: id, word, fields, body. An unknown word is an end that may have run.
 func readAnswer(parts [][]byte) (id string, e core.End, err error) {
 	if len(parts) < 2 {
@@ -101,13 +114,13 @@
 			e.Note = policy.NoteHit + policy.Note(i)
 		}
 	}
-	e.Waited, _ = strconv.ParseFloat(fields["took"], 64)
+	e.Waited, _ = number(fields["took"])
 	if len(parts) > 3 && e.Result == policy.OK && !e.Same {
 		e.Body = bytes.Clone(parts[3])
 	}
 	for _, pair := range strings.Split(fields["rep"], ";") {
 		name, value, _ := strings.Cut(pair, ":")
-		if v, err := strconv.ParseFloat(value, 64); err == nil && loads[name] != "" {
+		if v, ok := number(value); ok && loads[name] != "" {
 			if e.Load == nil {
 				e.Load = policy.Load{}
 			}
