A request's tries are bounded where the settings bound none, or more than memory holds

Cause: a request's mailbox has room for three words a try. Without MostTries the mailbox was made for 64 tries and the module knew no bound, so what came beyond was dropped; with a very high one, 1e300 of a mistyped file, the room was asked for from the system as told.

Change: core.New holds MaxTries to 64 before the module gets it. Settings or known that are missing are said to be.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -90,6 +90,9 @@
 	if c.Listen == "" || c.Board == "" {
 		return nil, fmt.Errorf("listen or board is missing")
 	}
+	if len(f.Settings) == 0 || len(f.Known) == 0 {
+		return nil, fmt.Errorf("settings or known is missing")
+	}
 	if c.Settings, err = wire.DecodeSettings(f.Settings); err != nil {
 		return nil, err
 	}
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -87,7 +87,8 @@
 		{`"memory_mb":192`, `"memory_mb":"192"`, "Limits.memory_mb: string found where it can't stand"},
 		{`"sockets":1024`, `"sockets":-1`, "limits.sockets: -1 is below 0"},
 		{`"cores":1.0,`, `"cores":1.0,,`, "2:24: invalid character ',' looking for beginning of object key string"},
-		{`"settings":`, `"setings":`, "settings: unexpected end of JSON input"},
+		{`"settings":`, `"setings":`, "settings or known is missing"},
+		{`"known":`, `"knows":`, "settings or known is missing"},
 		{`"seed":"8c1f30d27a5be964",`, ``, `seed "" is not a hexadecimal number`},
 		{`"machineType":"small"`, `"machineType":"tiny"`, `known: notice 1: s-00000001: unknown lifecycle "up", zone "gate-1" or machineType "tiny"`},
 	} {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -154,19 +154,13 @@
 }
 
 const (
-	mostTries = 64  // of a request where the settings set no limit
+	mostTries = 64  // of a request, where the settings set no limit or a higher one: there is room in memory for so many
 	mostLines = 500 // log lines from the module
 )
 
 // mailbox is room for all that one request's life can be told: its tries, their cancels, their ends and
 // the final answer. It is kept small: at thousands of requests a second the collector feels it.
-func (c *Core) mailbox() int {
-	tries := c.set.MaxTries
-	if tries <= 0 {
-		tries = mostTries
-	}
-	return 3*tries + 2
-}
+func (c *Core) mailbox() int { return 3*c.set.MaxTries + 2 }
 
 // New returns a core around a new Router. classes are the names of the classes, and mostHeld bounds how
 // many requests are open at once (0: 4096).
@@ -174,6 +168,9 @@
 	if len(classes) != len(set.Classes) {
 		return nil, fmt.Errorf("core: %d names for %d classes", len(classes), len(set.Classes))
 	}
+	if set.MaxTries <= 0 || set.MaxTries > mostTries {
+		set.MaxTries = mostTries
+	}
 	router, err := policy.New(set, seed)
 	if err != nil {
 		return nil, err
--- a/internal/core/keyed_test.go
+++ b/internal/core/keyed_test.go
@@ -11,6 +11,7 @@
 
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/invariant"
 	"ravenwheel/internal/scenario"
 	"ravenwheel/policy"
 )
@@ -94,6 +95,24 @@
 	}
 }
 
+// However many tries the settings allow, a request makes no more than there is room for in its mailbox, and none is dropped.
+func TestTriesAreBounded(t *testing.T) {
+	for told, most := range map[int]int{0: 64, 1000: 64, 8: 8} {
+		synctest.Test(t, func(t *testing.T) {
+			set := scenario.Settings()
+			set.MaxTries = told
+			clk := clock.Manual(1e12)
+			d := &deaf{clock: clk, ends: []core.End{{Result: policy.Moot}}}
+			c, err := core.New(set, []string{"tiles", "pages", "reports"}, 0, 7, clk, d)
+			require.NoError(t, err)
+			c.Members(coreMembers())
+			ask(t, c, clk, core.Request{ID: "a", Class: 1, Object: "o", Deadline: clk.Now() + 2000})
+			require.Equal(t, most, len(d.sent), "told %d", told)
+		})
+	}
+	require.Zero(t, invariant.Broken())
+}
+
 // Where clients get no advice, a request that is turned away unseen has none either.
 func TestNoAdvice(t *testing.T) {
 	for advice, want := range map[bool]float64{true: 500, false: 0} {
