--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -145,3 +145,32 @@
 		}
 	}
 }
+
+// A window half as long allows half as many, while what each router may overdraw stays one attempt: with the figures of a
+// site whose window is 1.5 s the sum holds as well, from a handful of routers to three hundred.
+func TestColdSumInAShortWindow(t *testing.T) {
+	short := Fall{ColdFrom: 0.2, WarmWithin: 17 * time.Second, Multiple: 2.5, Within: 1500 * ms}
+	shortParent := Fall{ColdFrom: 0.063, WarmWithin: 21 * time.Second, Multiple: 2, Within: 1500 * ms}
+	for _, routers := range []int{3, 5, 20, 300} {
+		for _, parent := range []bool{false, true} {
+			for _, weight := range []float64{4, 12, 30} {
+				for _, restarts := range []float64{0, 0.3} {
+					c := newCold(uint64(routers), routers, parent, weight, 430*ms)
+					c.set.CacheFall, c.set.ParentFall, c.fall = short, shortParent, short
+					if parent {
+						c.fall = shortParent
+					}
+					const length = 8 * time.Second
+					c.play(t, length, 0, restarts)
+					share, worst := c.over(c.from + length)
+					t.Logf("%d routers, parent %v, weight %v, restarts %v: %.1f allowed at first, at most %.2f of the line, %d sent",
+						routers, parent, weight, restarts, c.allowed(c.from), worst, len(c.at))
+					if share > 0 {
+						t.Errorf("%d routers, parent %v, weight %v, restarts %v: %.4f of the windows are over the line, the worst %.2f times",
+							routers, parent, weight, restarts, share, worst)
+					}
+				}
+			}
+		}
+	}
+}
