State: what ends by its time is found in order, not by a walk at every change

A queue of ends (internal/decide/expiry) stands beside what is held. Ends that move to later stay where they are until they come up; ends that move forth and back leave entries, which a bound has rebuilt.

--- a/internal/decide/recovery/state.go
+++ b/internal/decide/recovery/state.go
@@ -17,6 +17,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"ravenwheel/internal/decide/expiry"
 	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/decide/serverlist"
 	"ravenwheel/policy"
@@ -99,6 +100,9 @@
 	members  map[uint64]Member
 	lists    map[string]List
 	hand     map[uint64]bool
+	// told and gone order purges and the servers that are gone by what their ends are counted from.
+	told expiry.Queue[purgeKey]
+	gone expiry.Queue[uint64]
 }
 
 // NewState returns one in which nothing happened.
@@ -134,13 +138,9 @@
 			p.Made, p.Told = max(p.Made, old.Made), max(p.Told, old.Told)
 		}
 		s.purges[k] = p
+		s.told.Set(k, p.last(), old.last(), known) // it only moves to later, and leaves nothing to tidy up
 	case e.Member != nil:
-		m := *e.Member
-		// A drain counts from when it began, whatever else of the server changes meanwhile.
-		if old, known := s.members[m.ID]; known && old.Phase == m.Phase && m.Phase != membership.Gone {
-			m.Since = old.Since
-		}
-		s.members[m.ID] = m
+		s.member(*e.Member)
 	case e.List != nil:
 		if old, known := s.lists[e.List.Source]; !known || e.List.Generation >= old.Generation {
 			s.drained(old, *e.List, e.At)
@@ -157,6 +157,28 @@
 	}
 }
 
+func (s *State) member(m Member) {
+	old, known := s.members[m.ID]
+	// A drain counts from when it began, whatever else of the server changes meanwhile.
+	if known && old.Phase == m.Phase && m.Phase != membership.Gone {
+		m.Since = old.Since
+	}
+	s.members[m.ID] = m
+	if m.Phase != membership.Gone {
+		return
+	}
+	s.gone.Set(m.ID, m.Since, old.Since, known && old.Phase == membership.Gone)
+	if s.gone.Spare(len(s.members)) {
+		s.gone.Reset(func(yield func(uint64, float64) bool) {
+			for id, m := range s.members {
+				if m.Phase == membership.Gone && !yield(id, m.Since) {
+					return
+				}
+			}
+		})
+	}
+}
+
 // drained has those drain that a list drops or drains. It is kept before it is in use: a crash right after it was told
 // finds nothing else that says so.
 func (s *State) drained(old, next List, at float64) {
@@ -176,24 +198,23 @@
 
 // until is when a purge can no longer bind: by then every older copy has been dropped, twice over, as one may have been
 // on its way when its source's went.
-func (p Purge) until(set Settings) float64 {
-	return max(p.Told, p.Made) + 2*set.PurgeTakes + set.PurgeGrace
-}
+func (p Purge) until(set Settings) float64 { return binds(p.last(), set) }
+
+// last is what a purge's end is counted from.
+func (p Purge) last() float64 { return max(p.Told, p.Made) }
+
+func binds(last float64, set Settings) float64 { return last + 2*set.PurgeTakes + set.PurgeGrace }
 
 // Prune drops what can no longer bind, and returns how much.
 func (s *State) Prune(now float64, set Settings) (dropped int) {
-	for k, p := range s.purges {
-		if p.until(set) < now {
-			delete(s.purges, k)
-			dropped++
-		}
-	}
-	for id, m := range s.members {
-		if m.Phase == membership.Gone && m.Since+set.GoneFor < now {
-			delete(s.members, id)
-			dropped++
-		}
-	}
+	s.told.Expire(
+		func(last float64) bool { return binds(last, set) < now },
+		func(k purgeKey) (float64, bool) { p, held := s.purges[k]; return p.last(), held },
+		func(k purgeKey) { delete(s.purges, k); dropped++ })
+	s.gone.Expire(
+		func(since float64) bool { return since+set.GoneFor < now },
+		func(id uint64) (float64, bool) { m := s.members[id]; return m.Since, m.Phase == membership.Gone },
+		func(id uint64) { delete(s.members, id); dropped++ })
 	return dropped
 }
 
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -7,11 +7,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"ravenwheel/internal/decide/expiry"
 	"ravenwheel/internal/decide/serverlist"
 )
 
@@ -122,6 +124,8 @@
 	Done    []done             `cbor:"9,keyasint"`  // oldest first
 	Applied uint64             `cbor:"10,keyasint"` // index in the log of the last change taken in
 	index   map[string]Result
+	// The ends of what is held, in order; made anew from what a snapshot holds.
+	spentEnds, revokedEnds, purgeEnds expiry.Queue[string]
 }
 
 // New returns the state before any change.
@@ -168,18 +172,18 @@
 func (s *State) apply(c Change) Result {
 	switch {
 	case c.Kind == Spend:
-		prune(s.Spent, s.Now)
+		prune(s.Spent, &s.spentEnds, s.Now)
 		if _, spent := s.Spent[c.Name]; spent {
 			return Result{Verdict: Spent}
 		}
-		s.Spent[c.Name] = c.Until
+		hold(s.Spent, &s.spentEnds, c.Name, c.Until)
 	case c.Kind == PutKey && c.Key != nil:
 		s.Keys[c.Name] = *c.Key
 	case c.Kind == DropKey:
 		delete(s.Keys, c.Name)
 	case c.Kind == Revoke:
-		prune(s.Revoked, s.Now)
-		s.Revoked[c.Name] = c.Until
+		prune(s.Revoked, &s.revokedEnds, s.Now)
+		hold(s.Revoked, &s.revokedEnds, c.Name, c.Until)
 	case c.Kind == SetConfig:
 		return s.setConfig(c)
 	case c.Kind == SetList && c.List != nil:
@@ -208,14 +212,27 @@
 	if name == "" {
 		name = fmt.Sprint("group ", p.Group)
 	}
-	old := s.Purges[name]
+	old, held := s.Purges[name]
 	p.Made, p.Until = max(p.Made, old.Made), max(until, old.Until)
 	s.Purges[name] = p
-	for n, x := range s.Purges {
-		if x.Until < s.Now {
-			delete(s.Purges, n)
+	s.purgeEnds.Set(name, p.Until, old.Until, held) // an end that only moves to later leaves nothing to tidy up
+	s.purgeEnds.Expire(
+		func(until float64) bool { return until < s.Now },
+		func(name string) (float64, bool) { p, held := s.Purges[name]; return p.Until, held },
+		func(name string) { delete(s.Purges, name) })
+}
+
+// order makes the queues from what is held.
+func (s *State) order() {
+	s.spentEnds.Reset(maps.All(s.Spent))
+	s.revokedEnds.Reset(maps.All(s.Revoked))
+	s.purgeEnds.Reset(func(yield func(string, float64) bool) {
+		for name, p := range s.Purges {
+			if !yield(name, p.Until) {
+				return
+			}
 		}
-	}
+	})
 }
 
 func (s *State) setConfig(c Change) Result {
@@ -253,14 +270,23 @@
 	return Revision{}, false
 }
 
-func prune(ids map[string]float64, now float64) {
-	for id, until := range ids {
-		if until < now {
-			delete(ids, id)
-		}
+// hold books until when a token id is kept.
+func hold(ids map[string]float64, ends *expiry.Queue[string], id string, until float64) {
+	old, held := ids[id]
+	ids[id] = until
+	if ends.Set(id, until, old, held); ends.Spare(len(ids)) {
+		ends.Reset(maps.All(ids))
 	}
 }
 
+// prune drops the token ids whose time is over.
+func prune(ids map[string]float64, ends *expiry.Queue[string], now float64) {
+	ends.Expire(
+		func(until float64) bool { return until < now },
+		func(id string) (float64, bool) { until, held := ids[id]; return until, held },
+		func(id string) { delete(ids, id) })
+}
+
 // form is the version of the bytes, in front of them. Version 0 was JSON, and begins with a brace.
 const form = 1
 
@@ -352,6 +378,7 @@
 		for k, v := range o.Revoked {
 			s.Revoked[k] = v
 		}
+		s.order()
 		return s, nil
 	}
 	if err := decode(b, s); err != nil {
@@ -376,5 +403,6 @@
 	for _, d := range s.Done {
 		s.index[d.ID] = d.Result
 	}
+	s.order()
 	return s, nil
 }
