Facts of the store get a package of their own, beside the server registry

It is internal/facts now, the same code, so that a subscription can be heard the same way; its order (a list kept before it is in force, a purge in force before it is kept) is tested there.

--- a/cmd/ravenwheel/shared.go
+++ b/cmd/ravenwheel/shared.go
@@ -12,6 +12,7 @@
 	"ravenwheel/internal/decide/recovery"
 	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/facts"
 	"ravenwheel/internal/front/signed"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/store"
@@ -87,49 +88,20 @@
 	return set, err
 }
 
-// storeSource is the name under which the journal keeps the store's list.
-const storeSource = "store"
-
 // storeList is the name of the one list that the store holds.
 const storeList = "servers"
 
 func (s *sources) shares() bool { return s.heard != nil }
 
-// hear takes in the facts of the store, in the order of its log.
-func (s *sources) hear(at int, conf *config.Config, log *logs.Log) {
-	for c := range s.heard {
-		switch c.Kind {
-		case replica.SetList:
-			set := serverlist.Again(c.List.Generation, c.List.Servers)
-			entries := conf.Entries(set)
-			usable := true
-			for i, e := range entries {
-				if e.Zone < 0 || e.Kind < 0 {
-					log.Error("list").Str("server", serverlist.Name(set.Servers[i].ID)).Msg("the store's list is not of this site: not used")
-					usable = false
-				}
-			}
-			if usable {
-				if s.state != nil { // before it is in force, as a watched list is
-					_ = s.state.Took(storeSource, set)
-				}
-				s.roster.Tell(membership.List{Source: at, Generation: set.Generation, Entries: entries})
-			}
-		case replica.SetDrain, replica.EndDrain:
-			if id, ok := serverlist.ID(c.Name); ok {
-				_ = s.drained(id, c.Kind == replica.SetDrain) // the store has it; the keeper says what it could not keep
-			}
-		case replica.SetPurge:
-			p := core.Purge{Object: c.Purge.Object, Group: c.Purge.Group, At: c.Purge.Made}
-			if p.Object != "" {
-				p.Group = -1
-			}
-			s.core.Purged(p)
-			if s.state != nil {
-				s.state.Purging(recovery.Purge{Object: p.Object, Group: c.Purge.Group, Made: p.At, Told: s.clk.Now()})
-			}
-		}
+// hears says where facts of the store go.
+func (s *sources) hears(at int, conf *config.Config, log *logs.Log) *facts.Options {
+	o := &facts.Options{
+		Clock: s.clk, Log: log, Source: at, Entries: conf.Entries, Tell: s.roster.Tell, Drained: s.drained, Purged: s.core.Purged,
+	}
+	if s.state != nil { // or the interface would hold a nil
+		o.Keeper = s.state
 	}
+	return o
 }
 
 // live applies revisions of the shared configuration: all of one or nothing.
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -160,7 +160,7 @@
 	if storeAt >= 0 && heard != nil {
 		// After what was kept before the restart: a drain that the store ended meanwhile is ended here too.
 		s.heard = heard
-		go s.hear(storeAt, conf, log)
+		go s.hears(storeAt, conf, log).Run(heard)
 	}
 	if s.board != nil {
 		go s.board.Run(context.Background()) // also while stopping: the rules go on
--- /dev/null
+++ b/internal/facts/facts_test.go
@@ -0,0 +1,99 @@
+package facts_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/decide/recovery"
+	"ravenwheel/internal/decide/replica"
+	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/facts"
+	"ravenwheel/policy"
+)
+
+// heard keeps what facts come to, in order.
+type heard struct{ all []any }
+
+type took struct {
+	source     string
+	generation uint64
+}
+
+type drained struct {
+	id policy.CacheID
+	on bool
+}
+
+func (h *heard) Took(source string, set *serverlist.Set) error {
+	h.all = append(h.all, took{source, set.Generation})
+	return nil
+}
+
+func (h *heard) Purging(p recovery.Purge) { h.all = append(h.all, p) }
+
+func options(h *heard) *facts.Options {
+	return &facts.Options{
+		Clock: clock.Manual(5000), Source: 1, Keeper: h,
+		Entries: func(set *serverlist.Set) []membership.Entry {
+			out := make([]membership.Entry, len(set.Servers))
+			for i, s := range set.Servers {
+				if out[i].ID = s.ID; s.Zone != "here" {
+					out[i].Zone = -1
+				}
+			}
+			return out
+		},
+		Tell:    func(e membership.Event) { h.all = append(h.all, e) },
+		Drained: func(id policy.CacheID, on bool) error { h.all = append(h.all, drained{id, on}); return nil },
+		Purged:  func(p core.Purge) { h.all = append(h.all, p) },
+	}
+}
+
+// Each fact comes into force once, in order: a list is kept before it is in force, a purge is in force before it is kept,
+// and a kind that is no fact is passed over.
+func TestTake(t *testing.T) {
+	h := &heard{}
+	o := options(h)
+	in := make(chan replica.Change, 8)
+	for _, c := range []replica.Change{
+		{Kind: replica.SetList, List: &replica.List{Generation: 3, Servers: []serverlist.Server{{ID: 1, Zone: "here"}}}},
+		{Kind: replica.SetDrain, Name: serverlist.Name(1)}, {Kind: replica.EndDrain, Name: serverlist.Name(1)},
+		{Kind: replica.SetDrain, Name: "no server's name"}, {Kind: replica.Spend, Name: "a"},
+		{Kind: replica.SetPurge, Purge: &replica.Purge{Object: "o", Made: 10}},
+		{Kind: replica.SetPurge, Purge: &replica.Purge{Group: 4, Made: 11}},
+	} {
+		in <- c
+	}
+	close(in)
+	o.Run(in)
+	entry := membership.Entry{}
+	entry.ID = 1
+	require.Equal(t, []any{
+		took{facts.ListSource, 3}, membership.List{Source: 1, Generation: 3, Entries: []membership.Entry{entry}},
+		drained{1, true}, drained{1, false},
+		core.Purge{Object: "o", Group: -1, At: 10}, recovery.Purge{Object: "o", Made: 10, Told: 5000},
+		core.Purge{Group: 4, At: 11}, recovery.Purge{Group: 4, Made: 11, Told: 5000},
+	}, h.all)
+}
+
+// A list with a server that is not of this site is not taken, not by half either.
+func TestForeignList(t *testing.T) {
+	h := &heard{}
+	options(h).Take(replica.Change{Kind: replica.SetList, List: &replica.List{Generation: 3, Servers: []serverlist.Server{
+		{ID: 1, Zone: "here"}, {ID: 2, Zone: "elsewhere"},
+	}}})
+	require.Empty(t, h.all)
+}
+
+// Without a journal facts are in force all the same.
+func TestNothingKept(t *testing.T) {
+	h := &heard{}
+	o := options(h)
+	o.Keeper = nil
+	o.Take(replica.Change{Kind: replica.SetPurge, Purge: &replica.Purge{Object: "o", Made: 10}})
+	require.Equal(t, []any{core.Purge{Object: "o", Group: -1, At: 10}}, h.all)
+}
