Store: links, connections between members that carry frames either way

Distribution needs what the store's calls have (mutual TLS of the cluster, frames with a length) on connections that last and carry frames both ways. wire.go serves them on an address of its own, of so many at once; it waits for those that serve them when it closes. Tested: names, another cluster's certificate, kinds that don't match the address, a frame beyond its bound, an end, one link too many, a reader that does not read.

--- /dev/null
+++ b/internal/store/link_test.go
@@ -0,0 +1,121 @@
+package store
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// identities issues one of each name, of one cluster.
+func identities(t *testing.T, names ...string) []*Identity {
+	dir := t.TempDir()
+	require.NoError(t, NewCluster(dir, "th"))
+	var out []*Identity
+	for _, name := range names {
+		require.NoError(t, Issue(dir, name))
+		id, err := LoadIdentity(dir, name)
+		require.NoError(t, err)
+		out = append(out, id)
+	}
+	return out
+}
+
+// listenLinks opens an address on loopback whose links echo what they get.
+func listenLinks(t *testing.T, id *Identity, most int) *Links {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := ListenLinks(id, ln, most, func(l *Link) {
+		for {
+			text, err := l.Receive(100, 0)
+			if err != nil || l.Send([]byte(l.Peer+": "+string(text)), patience) != nil {
+				return
+			}
+		}
+	})
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// Two members of a cluster know one another by name and exchange frames; who has another cluster's certificate gets
+// nothing.
+func TestLink(t *testing.T) {
+	ids := identities(t, "a", "b")
+	at := listenLinks(t, ids[0], 8)
+	l, err := DialLink(ids[1], at.Addr().String(), patience, nil)
+	require.NoError(t, err)
+	defer l.Close()
+	require.Equal(t, "a", l.Peer)
+	for _, text := range []string{"one", "two"} {
+		require.NoError(t, l.Send([]byte(text), patience))
+		back, err := l.Receive(100, patience)
+		require.NoError(t, err)
+		require.Equal(t, "b: "+text, string(back))
+	}
+	require.NoError(t, l.Send(make([]byte, 101), patience))
+	_, err = l.Receive(100, patience)
+	require.Error(t, err, "a frame beyond the bound ends the link")
+	_, err = DialLink(identities(t, "b")[0], at.Addr().String(), patience, nil)
+	require.Error(t, err)
+}
+
+// An address for links takes nothing else, nor one of the store a link.
+func TestLinkKinds(t *testing.T) {
+	ids := identities(t, "a", "b")
+	at := listenLinks(t, ids[0], 8)
+	_, sent, err := (&wire{id: ids[1], dial: Options{}.dialer()}).call(at.Addr().String(), request{Call: callStatus}, patience)
+	require.True(t, sent)
+	require.Error(t, err)
+
+	c := newCluster(t, "a")
+	id, err := LoadIdentity(c.keys, "a")
+	require.NoError(t, err)
+	l, err := DialLink(id, c.addrs["a"], patience, nil)
+	require.NoError(t, err)
+	defer l.Close()
+	_, err = l.Receive(100, patience)
+	require.ErrorIs(t, err, io.EOF)
+}
+
+// An address that is closed ends its links, waits until those that served them have returned, and leaves the other side
+// an end in place of silence. One link more than the most is turned away.
+func TestLinksClose(t *testing.T) {
+	ids := identities(t, "a", "b")
+	at := listenLinks(t, ids[0], 1)
+	l, err := DialLink(ids[1], at.Addr().String(), patience, nil)
+	require.NoError(t, err)
+	defer l.Close()
+	require.NoError(t, l.Send([]byte("one"), patience))
+	_, err = l.Receive(100, patience)
+	require.NoError(t, err)
+	_, err = DialLink(ids[1], at.Addr().String(), patience, nil)
+	require.Error(t, err, "a second one")
+	require.NoError(t, at.Close())
+	_, err = l.Receive(100, patience)
+	require.Error(t, err)
+}
+
+// Who does not read is given so long and no longer.
+func TestLinkSlow(t *testing.T) {
+	ids := identities(t, "a", "b")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	at := ListenLinks(ids[0], ln, 8, func(l *Link) {
+		for {
+			if err := l.Send(make([]byte, 1<<20), 50*time.Millisecond); err != nil {
+				ended <- err
+				return
+			}
+		}
+	})
+	defer at.Close()
+	l, err := DialLink(ids[1], at.Addr().String(), patience, nil)
+	require.NoError(t, err)
+	defer l.Close()
+	var late net.Error
+	require.True(t, errors.As(<-ended, &late) && late.Timeout())
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -143,7 +143,7 @@
 	}
 	s.wire = &wire{
 		ln: ln, id: s.opt.Identity, dial: s.opt.Dial, serve: s.serve, wait: s.opt.Timeout, stream: make(chan net.Conn),
-		done: make(chan struct{}), conns: map[net.Conn]struct{}{},
+		most: mostConns, done: make(chan struct{}), conns: map[net.Conn]struct{}{},
 	}
 	s.closers = append(s.closers, s.wire)
 	trans := raft.NewNetworkTransport(s.wire, 3, s.opt.Timeout, io.Discard)
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -16,10 +16,11 @@
 )
 
 // A member has one address. The first byte on a connection says what it carries: raft's own stream, or calls, each a
-// length of 4 bytes and CBOR, answered in order.
+// length of 4 bytes and CBOR, answered in order, or on an address of its own a link, of the same frames.
 const (
 	forRaft  = 'R'
 	forCalls = 'C'
+	forLinks = 'D'
 	mostCall = 32 << 20
 )
 
@@ -56,25 +57,37 @@
 	if err != nil {
 		return err
 	}
-	_, err = w.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(b))), b...))
+	return writeBytes(w, b)
+}
+
+func writeBytes(w io.Writer, b []byte) error {
+	_, err := w.Write(append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(b)), uint32(len(b))), b...))
 	return err
 }
 
 func readFrame(r io.Reader, v any) error {
+	b, err := readBytes(r, mostCall)
+	if err != nil {
+		return err
+	}
+	return calls.Unmarshal(b, v)
+}
+
+func readBytes(r io.Reader, most int) ([]byte, error) {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return err
+		return nil, err
 	}
 	n := binary.BigEndian.Uint32(head[:])
-	if n > mostCall {
-		return fmt.Errorf("store: a call of %d bytes", n)
+	if int64(n) > int64(most) {
+		return nil, fmt.Errorf("store: a frame of %d bytes", n)
 	}
 	// Grown as the bytes come: a claim alone costs nothing.
 	b, err := io.ReadAll(io.LimitReader(r, int64(n)))
 	if err != nil || len(b) < int(n) {
-		return errors.Join(err, io.ErrUnexpectedEOF)
+		return nil, errors.Join(err, io.ErrUnexpectedEOF)
 	}
-	return calls.Unmarshal(b, v)
+	return b, nil
 }
 
 // wire is a member's address: raft's stream layer, and the calls of others.
@@ -85,11 +98,14 @@
 	serve  func(peer string, q request) reply
 	wait   time.Duration
 	stream chan net.Conn
+	links  func(*Link) // in place of serve and stream; nil: an address of the store
+	most   int         // connections at once
 	done   chan struct{}
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
-	over  bool
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	over     bool
+	greeting sync.WaitGroup // of those that run greet
 }
 
 const (
@@ -107,14 +123,18 @@
 			return
 		}
 		w.mu.Lock()
-		if w.over || len(w.conns) >= mostConns {
+		if w.over || len(w.conns) >= w.most {
 			w.mu.Unlock()
 			nc.Close()
 			continue
 		}
 		w.conns[nc] = struct{}{}
+		w.greeting.Add(1)
 		w.mu.Unlock()
-		go w.greet(nc)
+		go func() {
+			defer w.greeting.Done()
+			w.greet(nc)
+		}()
 	}
 }
 
@@ -143,6 +163,13 @@
 		return
 	}
 	_ = raw.SetDeadline(time.Time{})
+	if w.links != nil {
+		if kind[0] == forLinks {
+			w.links(&Link{Peer: peer, nc: nc, in: bufio.NewReader(nc), end: func() { raw.Close() }})
+		}
+		w.drop(raw)
+		return
+	}
 	if kind[0] == forRaft {
 		select {
 		case w.stream <- tracked{nc, w, raw}:
@@ -177,7 +204,7 @@
 	return nil
 }
 
-func (w *wire) connect(addr string, kind byte, wait time.Duration) (net.Conn, error) {
+func (w *wire) connect(addr string, kind byte, wait time.Duration) (*tls.Conn, error) {
 	raw, err := w.dial(addr, wait)
 	if err != nil {
 		return nil, err
@@ -224,7 +251,11 @@
 
 // Dial implements raft.StreamLayer.
 func (w *wire) Dial(addr raft.ServerAddress, wait time.Duration) (net.Conn, error) {
-	return w.connect(string(addr), forRaft, wait)
+	nc, err := w.connect(string(addr), forRaft, wait)
+	if err != nil {
+		return nil, err // and no interface round a nil
+	}
+	return nc, nil
 }
 
 // Addr implements raft.StreamLayer.
