Store: followers are told changes with their index; a change that comes again is not told twice

A drain that was ended while its proposer asked again came back: the state knew the second one by its id, and the proxies were told it all the same. What was done under an id before is not told again.

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -123,6 +123,9 @@
 	Purges  map[string]Purge   `cbor:"8,keyasint"`
 	Done    []done             `cbor:"9,keyasint"`  // oldest first
 	Applied uint64             `cbor:"10,keyasint"` // index in the log of the last change taken in
+	// Indexes are those in the log of the changes that brought what is held of purges, drains, lists and the
+	// configuration, by Fact; for who passes them on in the order of the log. What came before they were kept has none.
+	Indexes map[string]uint64 `cbor:"11,keyasint,omitempty"`
 	index   map[string]Result
 	// The ends of what is held, in order; made anew from what a snapshot holds.
 	spentEnds, revokedEnds, purgeEnds expiry.Queue[string]
@@ -132,10 +135,38 @@
 func New() *State {
 	return &State{
 		Keys: map[string]Key{}, Spent: map[string]float64{}, Revoked: map[string]float64{}, Lists: map[string]List{},
-		Drains: map[string]float64{}, Purges: map[string]Purge{}, index: map[string]Result{},
+		Drains: map[string]float64{}, Purges: map[string]Purge{}, Indexes: map[string]uint64{}, index: map[string]Result{},
 	}
 }
 
+// Fact is the key in Indexes of what a kind of change brings under a name.
+func Fact(k Kind, name string) string {
+	switch k {
+	case SetPurge:
+		return "purge " + name
+	case SetDrain:
+		return "drain " + name
+	case SetList:
+		return "list " + name
+	case SetConfig:
+		return "config"
+	}
+	return ""
+}
+
+// brought books which change brought a fact. A state that is no log's has no indexes.
+func (s *State) brought(k Kind, name string) {
+	if s.Applied > 0 {
+		s.Indexes[Fact(k, name)] = s.Applied
+	}
+}
+
+// Did tells whether a change was taken in before under the same id.
+func (s *State) Did(id string) bool {
+	_, again := s.index[id]
+	return again && id != ""
+}
+
 // Apply takes a change in.
 func (s *State) Apply(c Change) Result {
 	if r, again := s.index[c.ID]; again && c.ID != "" {
@@ -192,12 +223,15 @@
 			return Result{Verdict: Stale}
 		}
 		s.Lists[c.Name] = *c.List
+		s.brought(SetList, c.Name)
 	case c.Kind == SetDrain:
 		if _, known := s.Drains[c.Name]; !known { // counted from when it began
 			s.Drains[c.Name] = c.At
 		}
+		s.brought(SetDrain, c.Name)
 	case c.Kind == EndDrain:
 		delete(s.Drains, c.Name)
+		delete(s.Indexes, Fact(SetDrain, c.Name))
 	case c.Kind == SetPurge && c.Purge != nil && finite(c.Purge.Made):
 		s.purge(*c.Purge, c.Until)
 	default:
@@ -215,11 +249,15 @@
 	old, held := s.Purges[name]
 	p.Made, p.Until = max(p.Made, old.Made), max(until, old.Until)
 	s.Purges[name] = p
+	s.brought(SetPurge, name)
 	s.purgeEnds.Set(name, p.Until, old.Until, held) // an end that only moves to later leaves nothing to tidy up
 	s.purgeEnds.Expire(
 		func(until float64) bool { return until < s.Now },
 		func(name string) (float64, bool) { p, held := s.Purges[name]; return p.Until, held },
-		func(name string) { delete(s.Purges, name) })
+		func(name string) {
+			delete(s.Purges, name)
+			delete(s.Indexes, Fact(SetPurge, name))
+		})
 }
 
 // order makes the queues from what is held.
@@ -249,6 +287,7 @@
 	if s.Config = append(s.Config, next); len(s.Config) > mostHistory {
 		s.Config = slices.Clone(s.Config[len(s.Config)-mostHistory:])
 	}
+	s.brought(SetConfig, "")
 	return Result{Revision: next.Number}
 }
 
@@ -399,6 +438,9 @@
 	if s.Purges == nil {
 		s.Purges = fresh.Purges
 	}
+	if s.Indexes == nil {
+		s.Indexes = fresh.Indexes
+	}
 	s.index = map[string]Result{}
 	for _, d := range s.Done {
 		s.index[d.ID] = d.Result
--- a/internal/store/fsm.go
+++ b/internal/store/fsm.go
@@ -11,10 +11,11 @@
 
 // fsm is decide/replica behind raft's interface.
 type fsm struct {
-	mu       sync.RWMutex
-	state    *replica.State
-	watchers []chan replica.Revision
-	facts    func(replica.Change) // set before raft starts, so that nothing applied goes untold; nil: nobody asks
+	mu        sync.RWMutex
+	state     *replica.State
+	watchers  []chan replica.Revision
+	followers []Follower
+	facts     func(replica.Change) // set before raft starts, so that nothing applied goes untold; nil: nobody asks
 }
 
 // Apply takes one entry; its result is a replica.Result.
@@ -28,13 +29,22 @@
 		return replica.Result{Verdict: replica.Invalid}
 	}
 	before := f.state.Revision().Number
+	again := f.state.Did(c.ID)
 	r := f.state.Apply(c)
+	if again { // its effect was told then, and may have been ended since
+		return r
+	}
 	if now := f.state.Revision(); now.Number != before {
 		f.tell(now)
 	}
 	if f.facts != nil && r.Verdict == replica.OK && c.Kind >= replica.SetList {
 		f.facts(c)
 	}
+	if r.Verdict == replica.OK {
+		for _, x := range f.followers {
+			x.Applied(l.Index, c, f.state.Revision())
+		}
+	}
 	return r
 }
 
@@ -96,6 +106,9 @@
 	before := old.Revision().Number
 	f.state = s
 	f.retell(old)
+	for _, x := range f.followers {
+		x.Replaced(s)
+	}
 	if now := s.Revision(); now.Number != before {
 		f.tell(now)
 	}
