--- a/internal/source/board/board.go
+++ b/internal/source/board/board.go
@@ -206,6 +206,8 @@
 	Seed    uint64        // of the chance in pauses
 	Notice  func(Notice)
 	Heard   func() // a frame came that tells nothing new; may be nil
+	// Dial connects to a board; nil: package net's.
+	Dial func(ctx context.Context, addr string, within time.Duration) (net.Conn, error)
 
 	mu    sync.Mutex
 	leave context.CancelFunc // ends the connection of now
@@ -265,11 +267,19 @@
 	return time.Duration(float64(c.Silence) * (0.8 + 0.4*chance.Float64()))
 }
 
+func dialTCP(ctx context.Context, addr string, within time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: within}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // follow reads one connection to its end, and tells whether a frame came over it.
 func (c *Client) follow(ctx context.Context, addr string) (heard bool) {
 	silence := c.patience()
-	d := net.Dialer{Timeout: silence}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	dial := c.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	nc, err := dial(ctx, addr, silence)
 	if err != nil {
 		return false
 	}
