Front's soak moves its clock from states of rest, not by real time

Cause: the test moved its clock on after 2 ms without an answer. On a busy machine requests were still under way then, and ran out of the time that they were given: 35,000 to 41,000 of 59,400 served with 40 copies at once. It is the test: the program was asked to answer faster than it was run. Change: rest_test.go tells when the whole process is at rest: every other goroutine is parked, no connection comes up or ends, and of each connection, both ends of which are here, all bytes sent have arrived and been read; looked at before and after the goroutines. The clock moves only then, by 50 ms while requests are open, by 250 ms at most between, where it went on by the rest of the second at once. What is wanted of served and of the heap stays as it was.

--- /dev/null
+++ b/internal/front/resp/rest_test.go
@@ -0,0 +1,159 @@
+package resp_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"ravenwheel/internal/clock"
+)
+
+// rest tells when this whole process, the program and its stand-ins, has nothing left to do until the clock moves: every
+// other goroutine is parked, and no byte, connection or end of one is on the way between two of its sockets. It judges by
+// state alone, however busy the machine is.
+type rest struct {
+	t     *testing.T
+	stack []byte
+}
+
+func newRest(t *testing.T) *rest { return &rest{t: t, stack: make([]byte, 1<<20)} }
+
+// restWithin bounds how long a state of rest is waited for; it is no measure of speed.
+const restWithin = 3 * time.Minute
+
+// advance moves a clock in steps, each from a state of rest, so that all that a step has set off is over before the next.
+func (r *rest) advance(clk *clock.Clock, ms, step float64) {
+	for end := clk.Now() + ms; ; clk.Advance(min(step, end-clk.Now())) {
+		r.wait()
+		if clk.Now() >= end {
+			return
+		}
+	}
+}
+
+// wait returns at rest.
+func (r *rest) wait() {
+	for began := time.Now(); ; time.Sleep(50 * time.Microsecond) {
+		why := r.busy()
+		if why == "" {
+			return
+		}
+		require.Less(r.t, time.Since(began), restWithin, "never at rest: %s", why)
+	}
+}
+
+// busy is what is still under way; empty: nothing. The sockets are looked at before and after the goroutines: had one of
+// those moved a byte between, the counts would differ.
+func (r *rest) busy() (why string) {
+	before, why := sockets()
+	if why != "" {
+		return why
+	}
+	if why = r.runs(); why != "" {
+		return why
+	}
+	after, why := sockets()
+	if why == "" && !maps.Equal(before, after) {
+		why = "bytes have moved"
+	}
+	return why
+}
+
+// parked are the states in which a goroutine waits for another, or for its socket.
+var parked = map[string]bool{
+	"IO wait": true, "chan receive": true, "chan send": true, "select": true, "semacquire": true, "sync.Mutex.Lock": true,
+	"sync.RWMutex.RLock": true, "sync.RWMutex.Lock": true, "sync.WaitGroup.Wait": true, "sync.Cond.Wait": true,
+}
+
+// runs is a goroutine other than the one that asks which is not parked, or which waits for a connection to come up.
+func (r *rest) runs() (why string) {
+	n := runtime.Stack(r.stack, true)
+	for n == len(r.stack) {
+		r.stack = make([]byte, 2*n)
+		n = runtime.Stack(r.stack, true)
+	}
+	for i, one := range bytes.Split(r.stack[:n], []byte("\n\n")) {
+		if i == 0 {
+			continue // it is this one's
+		}
+		_, state, _ := bytes.Cut(one, []byte("["))
+		if end := bytes.IndexAny(state, ",]"); end >= 0 {
+			state = state[:end]
+		}
+		if !parked[string(state)] || bytes.Contains(one, []byte("net.(*netFD).connect(")) {
+			return string(one)
+		}
+	}
+	return ""
+}
+
+// address is an IPv4 one.
+type address struct {
+	ip   [4]byte
+	port int
+}
+
+func addressOf(at unix.Sockaddr) address {
+	in, ok := at.(*unix.SockaddrInet4)
+	if !ok {
+		return address{}
+	}
+	return address{in.Addr, in.Port}
+}
+
+// ends are where a socket is and whom it is connected to.
+type ends struct{ here, there address }
+
+// moved is what a socket has sent and been given so far, in bytes.
+type moved struct{ sent, got uint64 }
+
+// The states of TCP, as the kernel numbers them.
+const tcpEstablished, tcpListen = 1, 10
+
+// sockets counts what has moved over each connection of this process, whose both ends are here. why is not empty while one
+// is coming up or ending, or something has not arrived or was not read.
+func sockets() (all map[ends]moved, why string) {
+	list, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return nil, err.Error()
+	}
+	all = map[ends]moved{}
+	for _, entry := range list {
+		fd, err := strconv.Atoi(entry.Name())
+		if err != nil {
+			return nil, err.Error()
+		}
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			continue // no connection
+		}
+		if info.State == tcpListen {
+			if info.Unacked > 0 { // there: how many wait to be accepted
+				return nil, "a connection is not accepted yet"
+			}
+			continue
+		}
+		here, err1 := unix.Getsockname(fd)
+		there, err2 := unix.Getpeername(fd)
+		unread, err3 := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		if err := errors.Join(err1, err2, err3); err != nil || info.State != tcpEstablished || unread > 0 || info.Notsent_bytes > 0 {
+			return nil, fmt.Sprintf("socket %d: state %d, %d bytes unread, %d not sent, %v", fd, info.State, unread, info.Notsent_bytes, err)
+		}
+		all[ends{addressOf(here), addressOf(there)}] = moved{info.Bytes_sent - info.Bytes_retrans, info.Bytes_received}
+	}
+	for at, one := range all {
+		if peer, ok := all[ends{at.there, at.here}]; !ok || peer.got != one.sent {
+			return nil, fmt.Sprintf("%v: %d bytes sent, %d arrived at the other end", at, one.sent, peer.got)
+		}
+	}
+	return all, ""
+}
--- a/internal/front/resp/soak_test.go
+++ b/internal/front/resp/soak_test.go
@@ -27,6 +27,9 @@
 	fillPerS, perS      int
 }
 
+// The clock of a soak moves on by so many ms at a time, while requests are open and once all are answered.
+const openStep, idleStep = 50, 250
+
 // TestSoak plays minutes of churn: new objects all the time, caches are replaced, connections come and go, purges are told.
 // What may grow is bounded and full when the first heap is read: the module's memory of hit holders and of purges, 16,384
 // entries each, and the caches' copies. From then on, at one rate, the heap after a collection stays within a twentieth.
@@ -69,7 +72,9 @@
 
 	clients := make([]*scenario.Client, 3)
 	object, tag, served, asked, purged := 0, 0, 0, 0, 0
-	// ask sends n requests and has the clock move on for a second, faster while some that wait for a timer are open.
+	// ask sends n requests and has the clock move on for a second, each time from a state of rest. Guards against a busy machine,
+	// on which requests that were still under way ran out of the time that the clock was moved on by.
+	calm := newRest(t)
 	ask := func(n int) {
 		end := clk.Now() + 1000
 		for i := range n {
@@ -88,26 +93,31 @@
 			go func() {
 				for range (n + len(clients) - 1 - i) / len(clients) {
 					words, err := c.Receive()
-					if err != nil {
-						words = []string{"", err.Error()}
+					for began := time.Now(); err != nil && time.Since(began) < restWithin; {
+						words, err = c.Receive()
 					}
 					got <- words
 				}
 			}()
 		}
-		for left := n; left > 0; {
-			select {
-			case words := <-got:
+		left := n
+		took := func() (all bool) {
+			for range len(got) {
+				words := <-got
 				left--
+				require.Greater(t, len(words), 1, words)
 				require.Contains(t, []string{"ok", "full"}, words[1])
 				if words[1] == "ok" {
 					served++
 				}
-			case <-time.After(2 * time.Millisecond):
-				clk.Advance(50)
 			}
+			return left == 0
+		}
+		for calm.wait(); !took(); calm.wait() {
+			require.Less(t, clk.Now(), end+5000, "%d are never answered", left) // twice the budget
+			clk.Advance(openStep)
 		}
-		clk.Advance(max(0, end-clk.Now()))
+		calm.advance(clk, max(0, end-clk.Now()), idleStep)
 	}
 	heap := func() float64 {
 		servers.Forget()
