Capacity: form of recorded slopes, least-squares fits and their residuals

The fleet's size in two years can't be run here. A file whose fit is not that of its points is refused.

--- /dev/null
+++ b/internal/lab/capacity/fit_test.go
@@ -0,0 +1,109 @@
+package capacity
+
+import (
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func drawn(f func(float64) float64, noise float64, seed uint64) (out []Point) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	for _, n := range []float64{100, 300, 1000, 3000} {
+		out = append(out, Point{n, f(n) * (1 + noise*(2*random.Float64()-1))})
+	}
+	return out
+}
+
+// A model that is taken for another one is wrong by orders at six times the measured range.
+func TestFitFindsTheModelThatMadeThePoints(t *testing.T) {
+	for _, c := range []struct {
+		model Model
+		f     func(float64) float64
+	}{
+		{Linear, func(n float64) float64 { return 5000 + 70*n }},
+		{Linear, func(n float64) float64 { return 12 }},
+		{NLogN, func(n float64) float64 { return 3 * n * math.Log2(n) }},
+		{Quadratic, func(n float64) float64 { return 200 + 0.5*n*n }},
+	} {
+		for seed := range uint64(50) {
+			fit := FitOf(drawn(c.f, 0.02, seed))
+			want := c.f(17000)
+			if c.model != NLogN && fit.Model != c.model {
+				t.Errorf("seed %d: %s was taken for %s", seed, c.model, fit.Model)
+			}
+			if got := fit.At(17000); math.Abs(got-want) > 0.30*want {
+				t.Errorf("seed %d, %s: %g at 17,000, %g is right", seed, c.model, got, want)
+			}
+		}
+	}
+}
+
+func TestFitIsExactWithoutNoise(t *testing.T) {
+	fit := FitOf(drawn(func(n float64) float64 { return 5000 + 70*n }, 0, 1))
+	if math.Abs(fit.Fixed-5000) > 1e-3 || math.Abs(fit.Slope-70) > 1e-3 || fit.Worst() > 1e-4 {
+		t.Errorf("fit %+v", fit)
+	}
+}
+
+// Noise of a timing must not turn a linear cost into a steeper one.
+func TestFitStaysLinearWithinNoise(t *testing.T) {
+	for seed := range uint64(200) {
+		if fit := FitOf(drawn(func(n float64) float64 { return 2 * n }, 0.08, seed)); fit.Model != Linear {
+			t.Errorf("seed %d: %s with residuals %v", seed, fit.Model, fit.Residuals)
+		}
+	}
+}
+
+func sample() Recording {
+	return Recording{
+		Name: "x/y", Role: Proxy, Driver: "servers", Quantity: "memory", Unit: "bytes", Command: "ravenlab capacity record",
+		Points: drawn(func(n float64) float64 { return 5000 + 70*n }, 0, 1),
+	}
+}
+
+func TestBookRefusesAFitThatIsNotThePoints(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "a.json")
+	if err := Save(path, File{About: "a", Machine: "m", Recordings: []Recording{sample()}}); err != nil {
+		t.Fatal(err)
+	}
+	book, err := ReadBook(dir)
+	if err != nil || len(book) != 1 || book["x/y"].Slope != 70 {
+		t.Fatalf("%v, %v", book, err)
+	}
+	raw, _ := os.ReadFile(path)
+	other := strings.Replace(string(raw), `"slope": 70`, `"slope": 60`, 1)
+	if other == string(raw) {
+		t.Fatal("nothing was replaced")
+	}
+	if err := os.WriteFile(path, []byte(other), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadBook(dir); err == nil {
+		t.Error("a slope that was changed by hand was taken")
+	}
+}
+
+func TestRecordingsThatSayTooLittleAreRefused(t *testing.T) {
+	for name, change := range map[string]func(*Recording){
+		"no name":        func(r *Recording) { r.Name = "" },
+		"no command":     func(r *Recording) { r.Command = "" },
+		"a role unknown": func(r *Recording) { r.Role = "cook" },
+		"three points":   func(r *Recording) { r.Points = r.Points[:3] },
+		"close together": func(r *Recording) { r.Points = []Point{{1, 1}, {2, 2}, {3, 3}, {4, 4}} },
+		"no number":      func(r *Recording) { r.Points[2].Measured = math.NaN() },
+		"out of order":   func(r *Recording) { r.Points[0], r.Points[1] = r.Points[1], r.Points[0] },
+	} {
+		r := sample()
+		change(&r)
+		if r.Valid() == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	if err := sample().Valid(); err != nil {
+		t.Error(err)
+	}
+}
