Capacity: recorders of what servers, purges, members and followers cost, and their slopes

Seven recorders run in this process, without sockets, at sizes that span a factor of 30 to 100 (followers of a raft leader: 1 to 8).

--- /dev/null
+++ b/cmd/ravenlab/capacity.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/spf13/cobra"
+
+	"ravenwheel/internal/lab/capacity"
+)
+
+// capacityDir is where recordings are kept, capacityPage what is made of them.
+const (
+	capacityDir  = "docs/measurements/capacity"
+	capacityPage = "docs/CAPACITY.md"
+)
+
+func capacityCommand() *cobra.Command {
+	var write, dir string
+	var check bool
+	cmd := &cobra.Command{
+		Use: "capacity", Short: "Work out what the fleet costs at its size in two years, from recorded slopes", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			page, err := capacity.Page(dir)
+			switch {
+			case err != nil:
+				return err
+			case check:
+				return checkPage(cmd.OutOrStdout(), page)
+			case write != "":
+				return os.WriteFile(write, page, 0o644)
+			}
+			_, err = cmd.OutOrStdout().Write(page)
+			return err
+		},
+	}
+	cmd.PersistentFlags().StringVar(&dir, "recordings", capacityDir, "where the recordings are")
+	cmd.Flags().StringVar(&write, "write", "", "write the page to this file ("+capacityPage+")")
+	cmd.Flags().BoolVar(&check, "check", false, "fail if "+capacityPage+" is not what formulas and recordings give")
+	cmd.AddCommand(capacityRecordCommand(&dir), capacityFitCommand())
+	return cmd
+}
+
+func checkPage(out io.Writer, page []byte) error {
+	have, err := os.ReadFile(capacityPage)
+	if err != nil {
+		return err
+	}
+	if line, differs := capacity.Differs(have, page); differs {
+		return fmt.Errorf("%s differs from formulas and recordings at line %d: run 'ravenlab capacity --write %s'", capacityPage, line, capacityPage)
+	}
+	fmt.Fprintln(out, capacityPage, "is what formulas and recordings give")
+	return nil
+}
+
+func capacityRecordCommand(dir *string) *cobra.Command {
+	return &cobra.Command{
+		Use: "record [NAME...]", Short: "Measure slopes in this process, some seconds each, and keep them", Args: cobra.ArbitraryArgs,
+		RunE: func(cmd *cobra.Command, names []string) error {
+			for _, name := range names {
+				if !slices.ContainsFunc(capacity.Recorders, func(r capacity.Recorder) bool { return r.Name == name }) {
+					return fmt.Errorf("no recorder %q", name)
+				}
+			}
+			for _, r := range capacity.Recorders {
+				if len(names) > 0 && !slices.Contains(names, r.Name) {
+					continue
+				}
+				f, err := r.Record(*dir, capacity.Machine())
+				if err != nil {
+					return err
+				}
+				for _, x := range f.Recordings {
+					fmt.Fprintf(cmd.OutOrStdout(), "%s: %v %s, %g + %g x %s (%s), largest residual %.1f %%\n", x.Name, x.Points, x.Unit, x.Fixed, x.Slope, x.Driver,
+						x.Model, 100*x.Worst())
+				}
+			}
+			return nil
+		},
+	}
+}
+
+func capacityFitCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "fit FILE...", Short: "Fit the points of recordings that something else made", Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, paths []string) error {
+			for _, path := range paths {
+				f, err := capacity.ReadFile(path)
+				if err != nil {
+					return err
+				}
+				if err := capacity.Save(path, f); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
--- a/cmd/ravenlab/main.go
+++ b/cmd/ravenlab/main.go
@@ -24,7 +24,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	root := &cobra.Command{Use: "ravenlab", Short: "Stand-ins, load and experiments for ravenwheel", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(fleetCommand(), loadCommand(), demoCommand(), runCommand(), sweepCommand(), reportCommand(), shrinkCommand(), validateCommand(), fieldCommand())
+	root.AddCommand(fleetCommand(), loadCommand(), demoCommand(), runCommand(), sweepCommand(), reportCommand(), shrinkCommand(), validateCommand(), fieldCommand(),
+		capacityCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "ravenlab:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/lab/capacity/record_policy.go
@@ -0,0 +1,119 @@
+package capacity
+
+import (
+	"fmt"
+	"time"
+
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/policy"
+)
+
+// cachesAZone of the target, so that drawn lists look like the fleet's.
+const cachesAZone = 82
+
+// serverAt is the server of a number, in zones as large as the target's.
+func serverAt(n int) policy.Member {
+	return policy.Member{ID: policy.CacheID(n + 1), Zone: n / cachesAZone, Cell: n % 7, Weight: 4}
+}
+
+func newRouter() *policy.Router {
+	r, err := policy.New(policy.Settings{
+		Routers: 1, ParentKind: 1, OriginKind: 2, PurgeTakes: 6800 * time.Millisecond, Classes: []policy.Class{{Deadline: time.Second}},
+	}, 7)
+	if err != nil {
+		panic(err) // of fixed settings
+	}
+	return r
+}
+
+func routerOf(servers int) *policy.Router {
+	r := newRouter()
+	list := make([]policy.Member, servers)
+	for n := range list {
+		list[n] = serverAt(n)
+	}
+	r.Handle(1, policy.Members{Kind: policy.ListWhole, Entries: list}, nil)
+	return r
+}
+
+// objectName is one of the length that is assumed for the fleet's objects.
+func objectName(n int) string { return fmt.Sprintf("%0*x", nameBytes, n) }
+
+func routerPurged(purges int) *policy.Router {
+	r := newRouter()
+	for n := range purges {
+		r.Handle(policy.Time(n), policy.Purged{Object: objectName(n), Group: -1}, nil)
+	}
+	return r
+}
+
+func recordPolicy() ([]Recording, error) {
+	base := Recording{Role: Proxy}
+	make := func(name, driver, quantity, unit string, points []Point) Recording {
+		r := base
+		r.Name, r.Driver, r.Quantity, r.Unit, r.Points = name, driver, quantity, unit, points
+		return r
+	}
+	return []Recording{
+		make("policy/memory", "servers", "memory of the module", "bytes",
+			over(sizes, func(n int) float64 { return heap(func() any { return routerOf(n) }) })),
+		make("policy/change", "servers", "processor of a change of one server", "us", over(sizes, func(n int) float64 {
+			r := routerOf(n)
+			return cost(func(i int) {
+				m := serverAt(i * 37 % n)
+				m.State = policy.State(i % 3)
+				r.Handle(policy.Time(i+2), policy.Members{Entries: []policy.Member{m}}, nil)
+			})
+		})),
+		make("policy/purge-memory", "purges", "memory of the module", "bytes",
+			over(sizes, func(n int) float64 { return heap(func() any { return routerPurged(n) }) })),
+		make("policy/purge", "purges", "processor of one purge more", "us", over(sizes, func(n int) float64 {
+			r := routerPurged(n)
+			return cost(func(i int) { r.Handle(policy.Time(n+i), policy.Purged{Object: objectName(n + i), Group: -1}, nil) })
+		})),
+	}, nil
+}
+
+// entries are those of a source that lists so many servers.
+func entries(servers int) []membership.Entry {
+	list := make([]membership.Entry, servers)
+	for n := range list {
+		list[n].Member = membership.Member{Member: serverAt(n), Addr: serverAddr(n)}
+	}
+	return list
+}
+
+func serverAddr(n int) string { return fmt.Sprintf("10.%d.%d.%d:4100", n>>16, n>>8&255, n&255) }
+
+func ledgerOf(servers int) *membership.Ledger {
+	l, err := membership.New(membership.Settings{Sources: []membership.Source{{Name: "store"}}, DropDrain: 10_000, GoneFor: 10_000})
+	if err != nil {
+		panic(err) // of fixed settings
+	}
+	l.Handle(1, membership.List{Generation: 1, Entries: entries(servers)}, nil)
+	return l
+}
+
+func recordLedger() ([]Recording, error) {
+	return []Recording{
+		{Name: "ledger/memory", Role: Proxy, Driver: "servers", Quantity: "memory of the ledger", Unit: "bytes",
+			Points: over(sizes, func(n int) float64 { return heap(func() any { return ledgerOf(n) }) })},
+		{Name: "ledger/change", Role: Proxy, Driver: "servers", Quantity: "processor of a change of one server, told as a change", Unit: "us",
+			Points: over(sizes, func(n int) float64 {
+				l, list := ledgerOf(n), entries(n)
+				return cost(func(i int) {
+					e := list[i*37%n]
+					e.Weight = float64(1 + i%4)
+					l.Handle(float64(i+2), membership.Changes{Generation: uint64(i + 2), Entries: []membership.Entry{e}}, nil)
+				})
+			})},
+		{Name: "ledger/list", Role: Proxy, Driver: "servers", Quantity: "processor of a change of one server, told as a whole list", Unit: "us",
+			Points: over(sizes, func(n int) float64 {
+				l, list := ledgerOf(n), entries(n)
+				return cost(func(i int) {
+					list[i*37%n].Weight = float64(1 + i%4)
+					l.Handle(float64(i+2), membership.List{Generation: uint64(i + 2), Entries: list}, nil)
+				})
+			})},
+	}, nil
+}
--- /dev/null
+++ b/internal/lab/capacity/record_raft.go
@@ -0,0 +1,163 @@
+package capacity
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+
+	"ravenwheel/internal/decide/replica"
+)
+
+// raftRate is the target's purges a second: entries come one by one then, as nothing waits for a second one.
+const raftRate = 87
+
+// raftFor is how long each size is fed. With the sizes below it is a quarter of a minute.
+const raftFor = 3 * time.Second
+
+// ignore is a state machine that keeps nothing: what the replica costs is recorded apart.
+type ignore struct{ raft.FSM }
+
+// Apply implements raft.FSM.
+func (ignore) Apply(*raft.Log) any { return nil }
+
+// pipes is a network of pipes in memory.
+type pipes map[raft.ServerAddress]*pipeEnd
+
+// pipeEnd is where one member listens, and dials from.
+type pipeEnd struct {
+	network pipes
+	addr    raft.ServerAddress
+	come    chan net.Conn
+	done    chan struct{}
+	written *atomic.Int64 // by this end, on what it dialled
+}
+
+func (p pipes) add(addr raft.ServerAddress) *pipeEnd {
+	e := &pipeEnd{network: p, addr: addr, come: make(chan net.Conn), done: make(chan struct{}), written: &atomic.Int64{}}
+	p[addr] = e
+	return e
+}
+
+var errEnded = errors.New("capacity: the pipe's end is closed")
+
+// Dial implements raft.StreamLayer.
+func (e *pipeEnd) Dial(to raft.ServerAddress, wait time.Duration) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case e.network[to].come <- far:
+		return countingConn{Conn: near, written: e.written}, nil
+	case <-e.network[to].done:
+		return nil, errEnded
+	case <-time.After(wait):
+		return nil, errEnded
+	}
+}
+
+// Accept implements net.Listener.
+func (e *pipeEnd) Accept() (net.Conn, error) {
+	select {
+	case c := <-e.come:
+		return c, nil
+	case <-e.done:
+		return nil, errEnded
+	}
+}
+
+// Close implements net.Listener.
+func (e *pipeEnd) Close() error {
+	close(e.done)
+	return nil
+}
+
+// Addr implements net.Listener.
+func (e *pipeEnd) Addr() net.Addr { return pipeAddr(e.addr) }
+
+type pipeAddr string
+
+// Network implements net.Addr.
+func (pipeAddr) Network() string { return "pipe" }
+
+// String implements net.Addr.
+func (a pipeAddr) String() string { return string(a) }
+
+// fed is what a leader wrote, in bytes a second, and what leader and followers used together, in us of processor a second.
+func fed(followers int) (written, used float64, err error) {
+	network := pipes{}
+	var leader *raft.Raft
+	var all []*raft.Raft
+	defer func() {
+		for _, r := range all {
+			_ = r.Shutdown().Error()
+		}
+	}()
+	for n := range followers + 1 {
+		addr := raft.ServerAddress(fmt.Sprint("member-", n))
+		end := network.add(addr)
+		conf := raft.DefaultConfig()
+		conf.Logger, conf.LocalID = hclog.NewNullLogger(), raft.ServerID(addr)
+		logs, snaps := raft.NewInmemStore(), raft.NewInmemSnapshotStore()
+		trans := raft.NewNetworkTransport(end, 3, 2*time.Second, io.Discard)
+		if n == 0 {
+			one := raft.Configuration{Servers: []raft.Server{{ID: conf.LocalID, Address: addr}}}
+			if err := raft.BootstrapCluster(conf, logs, logs, snaps, trans, one); err != nil {
+				return 0, 0, err
+			}
+		}
+		r, err := raft.NewRaft(conf, ignore{}, logs, logs, snaps, trans)
+		if err != nil {
+			return 0, 0, err
+		}
+		all = append(all, r)
+		if n == 0 {
+			leader = r
+			<-r.LeaderCh()
+			continue
+		}
+		if err := leader.AddNonvoter(conf.LocalID, addr, 0, 2*time.Second).Error(); err != nil {
+			return 0, 0, err
+		}
+	}
+	time.Sleep(time.Second) // until all have caught up
+	return feed(leader, network["member-0"].written)
+}
+
+// feed has a leader take in the target's purges for a while.
+func feed(leader *raft.Raft, count *atomic.Int64) (written, used float64, err error) {
+	tick := time.NewTicker(time.Second / raftRate)
+	defer tick.Stop()
+	start, before, beforeUsed := time.Now(), count.Load(), processor()
+	for n := 0; time.Since(start) < raftFor; n++ {
+		<-tick.C
+		raw, err := replica.Encode(purgeChange(n, objectName(n)))
+		if err != nil {
+			return 0, 0, err
+		}
+		if err := leader.Apply(raw, time.Second).Error(); err != nil {
+			return 0, 0, err
+		}
+	}
+	seconds := time.Since(start).Seconds()
+	return float64(count.Load()-before) / seconds, (processor() - beforeUsed) / seconds, nil
+}
+
+func recordRaft() ([]Recording, error) {
+	const note = "1 to 8 followers in one process: a real leader of 17,000 can't be run here"
+	var bytes, used []Point
+	for _, n := range []int{1, 2, 4, 8} {
+		b, u, err := fed(n)
+		if err != nil {
+			return nil, err
+		}
+		bytes, used = append(bytes, Point{float64(n), rounded(b)}), append(used, Point{float64(n), rounded(u)})
+	}
+	return []Recording{
+		{Name: "raft/leader-bytes", Role: Voter, Driver: "followers", Quantity: "written by the leader at 87 purges a second", Unit: "bytes/s", Note: note, Points: bytes},
+		{Name: "raft/processor", Role: Voter, Driver: "followers", Quantity: "processor of leader and followers together at 87 purges a second", Unit: "us/s", Note: note, Points: used},
+	}, nil
+}
--- /dev/null
+++ b/internal/lab/capacity/record_replica.go
@@ -0,0 +1,169 @@
+package capacity
+
+import (
+	"fmt"
+	"strings"
+
+	"ravenwheel/internal/decide/replica"
+	"ravenwheel/internal/decide/serverlist"
+)
+
+// nameBytes and revisionBytes are assumed of the fleet: see assumptions.
+const nameBytes, revisionBytes = 32, 4096
+
+// changeID is as long as those that the store draws.
+func changeID(n int) string { return fmt.Sprintf("%032x", n) }
+
+// purgeChange is one purge as the store proposes it, and binds for long after the time at which a recording looks.
+func purgeChange(n int, name string) replica.Change {
+	at := 1.8e12 + float64(n)
+	return replica.Change{ID: changeID(n), At: at, Kind: replica.SetPurge, Until: at + 1e9, Purge: &replica.Purge{Object: name, Made: at}}
+}
+
+// purgedState holds so many purges, and the results of none: what they cost is recorded apart.
+func purgedState(purges int) *replica.State {
+	s := replica.New()
+	for n := range purges {
+		c := purgeChange(n, objectName(n))
+		c.ID = ""
+		s.Apply(c)
+	}
+	return s
+}
+
+// rememberingState holds nothing but the results of so many changes.
+func rememberingState(changes int) *replica.State {
+	s := replica.New()
+	for n := range changes {
+		s.Apply(replica.Change{ID: changeID(n), At: 1.8e12, Kind: replica.EndDrain, Name: "none"})
+	}
+	return s
+}
+
+func storeList(servers int) *replica.List {
+	list := &replica.List{Generation: 1, Servers: make([]serverlist.Server, servers)}
+	for n := range list.Servers {
+		m := serverAt(n)
+		list.Servers[n] = serverlist.Server{
+			ID: m.ID, Host: serverAddr(n)[:len(serverAddr(n))-5], Port: 4100, Addr: serverAddr(n), Zone: fmt.Sprintf("zone-%02d", m.Zone),
+			Kind: "cache", Cell: m.Cell, Weight: m.Weight, Started: 1.8e12,
+		}
+	}
+	return list
+}
+
+func listChange(generation, servers int) replica.Change {
+	list := storeList(servers)
+	list.Generation = uint64(generation)
+	list.Servers[generation*37%servers].Weight = float64(1 + generation%4)
+	return replica.Change{ID: changeID(generation), At: 1.8e12, Kind: replica.SetList, Name: "servers", List: list}
+}
+
+func listedState(servers int) *replica.State {
+	s := replica.New()
+	c := listChange(1, servers)
+	c.ID = ""
+	s.Apply(c)
+	return s
+}
+
+func revisedState(revisions int) *replica.State {
+	s := replica.New()
+	for n := range revisions {
+		text := fmt.Sprintf("%0*d", revisionBytes, n)
+		s.Apply(replica.Change{At: 1.8e12, Kind: replica.SetConfig, Base: uint64(n), Text: text, By: "operator"})
+	}
+	return s
+}
+
+// encoded is how many bytes a change or a state comes to.
+func encoded(v any) float64 {
+	raw, err := replica.Encode(v)
+	if err != nil {
+		panic(err) // of plain values
+	}
+	return float64(len(raw))
+}
+
+// taking is the processor of reading an entry of the log and taking it in.
+func taking(s *replica.State, change func(i int) replica.Change) float64 {
+	var raws [][]byte
+	for i := range 64 {
+		raw, err := replica.Encode(change(i))
+		if err != nil {
+			panic(err) // of plain values
+		}
+		raws = append(raws, raw)
+	}
+	return cost(func(i int) {
+		c, err := replica.DecodeChange(raws[i%len(raws)])
+		if err != nil {
+			panic(err) // it was written above
+		}
+		c.ID = "" // else the second time is none
+		s.Apply(c)
+	})
+}
+
+func recordReplica() ([]Recording, error) {
+	var out []Recording
+	add := func(name, driver, quantity, unit string, sizes []int, measure func(n int) float64) {
+		out = append(out, Recording{
+			Name: "replica/" + name, Role: Voter, Driver: driver, Quantity: quantity, Unit: unit, Points: over(sizes, measure),
+		})
+	}
+	state := func(make func(int) *replica.State) func(int) float64 {
+		return func(n int) float64 { return heap(func() any { return make(n) }) }
+	}
+	whole := func(make func(int) *replica.State) func(int) float64 {
+		return func(n int) float64 { return encoded(make(n)) }
+	}
+	add("purge-memory", "purges", "memory of the state", "bytes", sizes, state(purgedState))
+	add("purge-snapshot", "purges", "snapshot", "bytes", sizes, whole(purgedState))
+	add("purge-apply", "purges", "processor of reading and taking in one purge", "us", sizes, func(n int) float64 {
+		return taking(purgedState(n), func(i int) replica.Change { return purgeChange(i%n, objectName(i%n)) })
+	})
+	add("purge-entry", "bytes of the name", "one purge in the log", "bytes", []int{10, 30, 100, 300}, func(n int) float64 {
+		return encoded(purgeChange(1, strings.Repeat("a", n)))
+	})
+	add("results-memory", "changes", "memory of the results of changes, kept for 10 minutes", "bytes", sizes, state(rememberingState))
+	add("results-snapshot", "changes", "snapshot of the results of changes", "bytes", sizes, whole(rememberingState))
+	add("list-memory", "servers", "memory of the state", "bytes", sizes, state(listedState))
+	add("list-entry", "servers", "a change of one server in the log, which holds the whole list", "bytes", sizes, func(n int) float64 {
+		return encoded(listChange(1, n))
+	})
+	add("list-apply", "servers", "processor of reading and taking in such a change", "us", sizes, func(n int) float64 {
+		s, generation := listedState(n), 1
+		raw, err := replica.Encode(listChange(1, n))
+		if err != nil {
+			panic(err) // of plain values
+		}
+		return cost(func(int) {
+			c, err := replica.DecodeChange(raw)
+			if err != nil {
+				panic(err) // it was written above
+			}
+			generation++
+			c.ID, c.List.Generation = "", uint64(generation)
+			s.Apply(c)
+		})
+	})
+	add("revision-memory", "revisions", "memory of the state, each of 4,096 bytes", "bytes", []int{3, 10, 30, 100}, state(revisedState))
+	add("revision-snapshot", "revisions", "snapshot, each of 4,096 bytes", "bytes", []int{3, 10, 30, 100}, whole(revisedState))
+	add("snapshot-write", "purges", "processor of writing the snapshot", "us", sizes, func(n int) float64 {
+		s := purgedState(n)
+		return cost(func(int) { encoded(s) })
+	})
+	add("snapshot-read", "purges", "processor of reading the snapshot", "us", sizes, func(n int) float64 {
+		raw, err := replica.Encode(purgedState(n))
+		if err != nil {
+			panic(err) // of plain values
+		}
+		return cost(func(int) {
+			if _, err := replica.DecodeState(raw); err != nil {
+				panic(err) // it was written above
+			}
+		})
+	})
+	return out, nil
+}
--- /dev/null
+++ b/internal/lab/capacity/record_view.go
@@ -0,0 +1,152 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/memberlist"
+
+	"ravenwheel/internal/decide/view"
+	"ravenwheel/policy"
+)
+
+// toldServers is how many servers a process speaks of: those of its site and its zone that it asks most.
+const toldServers = 20
+
+func digestOf(member, servers int, version uint64) view.Digest {
+	d := view.Digest{From: memberName(member), Incarnation: 1, Version: version, Zone: fmt.Sprintf("zone-%02d", member%73), Arrivals: view.LevelOf(765)}
+	for n := range servers {
+		d.Servers = append(d.Servers, view.Seen{
+			Server: policy.CacheID(member%73*cachesAZone + n), Attempts: view.LevelOf(float64(20 + n)), Failures: 1, InFlight: 30, Latency: view.Latency{200, 40, 10},
+		})
+	}
+	for n := range 4 {
+		d.Heavy = append(d.Heavy, view.Heavy{Object: 1<<60 + uint64(n), Rate: 40})
+	}
+	return d
+}
+
+func memberName(n int) string { return fmt.Sprintf("proxy-%05d", n) }
+
+// viewOf has heard so many members, whatever the bound of today: the bound is a finding of its own.
+func viewOf(members int) *view.View {
+	o := view.Usual
+	o.Peers = 1 << 20
+	v := view.New("self", o)
+	for n := range members {
+		v.Merge(1, digestOf(n, toldServers, 1))
+	}
+	return v
+}
+
+func recordView() ([]Recording, error) {
+	whole := []Point{}
+	for _, n := range []int{10, 30, 100, 300} {
+		bytes, err := wholeState(n)
+		if err != nil {
+			return nil, err
+		}
+		whole = append(whole, Point{float64(n), float64(bytes)})
+	}
+	return []Recording{
+		{Name: "view/memory", Role: View, Driver: "members", Quantity: fmt.Sprintf("memory of the view, %d servers each", toldServers), Unit: "bytes",
+			Points: over(sizes, func(n int) float64 { return heap(func() any { return viewOf(n) }) })},
+		{Name: "view/merge", Role: View, Driver: "members", Quantity: fmt.Sprintf("processor of taking in a digest of %d servers", toldServers), Unit: "us",
+			Points: over(sizes, func(n int) float64 {
+				v := viewOf(n)
+				return cost(func(i int) { v.Merge(2, digestOf(i%n, toldServers, uint64(i+2))) })
+			})},
+		{Name: "view/digest", Role: View, Driver: "servers", Quantity: "a digest, every server told anew", Unit: "bytes",
+			Points: over([]int{3, 10, 30, 100}, func(n int) float64 {
+				raw, err := cbor.Marshal(digestOf(1, n, 1000))
+				if err != nil {
+					panic(err) // of plain values
+				}
+				return float64(len(raw))
+			})},
+		{Name: "membership/whole-state", Role: View, Driver: "members", Quantity: "the whole state that one member tells another", Unit: "bytes", Points: whole},
+	}, nil
+}
+
+// countingTransport counts what is read from streams that it opened.
+type countingTransport struct {
+	*memberlist.MockTransport
+	read atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	read, written *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.read != nil {
+		c.read.Add(int64(n))
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if c.written != nil {
+		c.written.Add(int64(n))
+	}
+	return n, err
+}
+
+// DialAddressTimeout implements memberlist.NodeAwareTransport.
+func (t *countingTransport) DialAddressTimeout(a memberlist.Address, wait time.Duration) (net.Conn, error) {
+	c, err := t.MockTransport.DialAddressTimeout(a, wait)
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{Conn: c, read: &t.read}, nil
+}
+
+// told is what members of the program tell of themselves: zone and region.
+type told struct{ memberlist.EventDelegate }
+
+func (told) NodeMeta(int) []byte {
+	raw, _ := cbor.Marshal([]string{"zone-17", "region-08"})
+	return raw
+}
+func (told) NotifyMsg([]byte)                {}
+func (told) GetBroadcasts(int, int) [][]byte { return nil }
+func (told) LocalState(bool) []byte          { return nil }
+func (told) MergeRemoteState([]byte, bool)   {}
+
+// wholeState is how many bytes a member that joins so many others is told by the one that it asks.
+func wholeState(members int) (bytes int64, err error) {
+	network := &memberlist.MockNetwork{}
+	var all []*memberlist.Memberlist
+	defer func() {
+		for _, m := range all {
+			_ = m.Shutdown()
+		}
+	}()
+	for n := range members + 1 {
+		transport := &countingTransport{MockTransport: network.NewTransport(memberName(n))}
+		c := memberlist.DefaultLANConfig()
+		c.Name, c.Transport, c.LogOutput, c.Delegate, c.EnableCompression = memberName(n), transport, io.Discard, told{}, false
+		c.ProbeInterval, c.GossipInterval, c.PushPullInterval = time.Hour, 0, 0 // only what is asked for
+		m, err := memberlist.Create(c)
+		if err != nil {
+			return 0, err
+		}
+		if all = append(all, m); n == 0 {
+			continue
+		}
+		if _, err := m.Join([]string{memberName(0) + "/127.0.0.1:1"}); err != nil {
+			return 0, err
+		}
+		bytes = transport.read.Load()
+	}
+	return bytes, nil
+}
