--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -33,6 +33,8 @@
 	PurgeTakes float64
 	// Held bounds the copies of one cache or parent.
 	Held int
+	// Window: the origin drops the repeat of a write with a key for so many ms.
+	Window float64
 }
 
 // Fleet is all servers.
@@ -44,8 +46,9 @@
 	objects map[string]float64 // when purged last
 	groups  map[int]float64
 	seen    []Seen
-	forgot  int            // how many were seen before those
-	runs    map[string]int // of writes, by request id
+	forgot  int                // how many were seen before those
+	runs    map[string]int     // of writes, by request id, and of those with a key by that
+	ran     map[string]float64 // when a write with a key ran last
 }
 
 // Seen is one attempt as a server saw it.
@@ -60,6 +63,7 @@
 	Newest  float64        // the oldest copy that would do was made then; 0: any
 	Probe   bool
 	Write   bool
+	Key     string // the idempotency key that came with it
 	Answer  string
 	Why     string  // how the answer came about, as it is told
 	Stamp   float64 // of the copy that was served
@@ -73,7 +77,7 @@
 	}
 	return &Fleet{
 		opt: o, servers: map[policy.CacheID]*Server{}, objects: map[string]float64{}, groups: map[int]float64{},
-		runs: map[string]int{},
+		runs: map[string]int{}, ran: map[string]float64{},
 	}
 }
 
@@ -192,6 +196,22 @@
 	return ids
 }
 
+// run runs a write at the origin, or drops it as the repeat of one with the same key.
+func (f *Fleet) run(id, key string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if key == "" {
+		f.runs[id]++
+		return
+	}
+	now := f.opt.Clock.Now()
+	if at, before := f.ran[key]; before && now < at+f.opt.Window {
+		return
+	}
+	f.ran[key] = now
+	f.runs["key "+key]++
+}
+
 // Ran is how many writes ran.
 func (f *Fleet) Ran() int {
 	f.mu.Lock()
--- a/internal/lab/fleet/server.go
+++ b/internal/lab/fleet/server.go
@@ -183,6 +183,7 @@
 	part, _ := strconv.Atoi(fields["piece"])
 	seen := Seen{
 		At: now, Server: s.ID, ID: id, Class: fields["lane"], Object: fields["name"], Part: part, Source: s.ID, Address: s.Addr(),
+		Key: fields["dedupe"],
 	}
 	if src := fields["fetch"]; src != "" {
 		n, _ := strconv.ParseUint(strings.TrimPrefix(src, "s-"), 16, 32)
@@ -252,15 +253,16 @@
 func (s *Server) answer(q Seen, fields map[string]string) (word, why string, stamp, wait float64) {
 	f := s.fleet
 	if q.Write {
-		f.mu.Lock()
-		f.runs[q.ID]++
-		f.mu.Unlock()
+		f.run(q.ID, q.Key)
 		return "served", "pulled", f.opt.Clock.Now(), f.opt.Serve + f.opt.Fill
 	}
 	k := key{q.Object, q.Part}
 	if stamp, ok := s.hold(k, q.Newest); ok {
 		return "served", "local", stamp, f.opt.Serve
 	}
+	if s.Role == Origin { // a request that came past all caches
+		return "served", "pulled_far", f.make(k), f.opt.Serve
+	}
 	if q.Source == s.ID {
 		return "not_here", "not_there", 0, 0
 	}
