--- a/internal/lab/experiment/floors_test.go
+++ b/internal/lab/experiment/floors_test.go
@@ -93,8 +93,8 @@
 	}
 }
 
-// The module breaks no rule under either kind of settings, nor in the variants of both files. Left out until the module books
-// told sizes on cold servers: a cold cache pushed over by a few objects many times the usual size, of terminal-maps.
+// The module breaks no rule under either kind of settings, nor in the variants of both files. One is left out until the module
+// books told sizes on cold servers: a cold cache that is sent more than it bears, of terminal-maps.
 func TestNoRuleIsBroken(t *testing.T) {
 	for _, name := range []string{"terminal-maps", "tabletop"} {
 		for _, v := range load(t, name).Variants {
