--- a/internal/lab/sim/kinds.go
+++ b/internal/lab/sim/kinds.go
@@ -54,7 +54,14 @@
 		}
 	}
 	for i, t := range s.Troubles {
-		within(fmt.Sprintf("troubles[%d].extra", i), t.Extra, 0, 1000)
+		at := fmt.Sprintf("troubles[%d]", i)
+		if !slices.Contains(troubleKinds, t.Kind) {
+			doc.Fail(at+".kind", "kind %q is none of %s", t.Kind, strings.Join(troubleKinds, ", "))
+		}
+		within(at+".at_s", t.At, 0, s.Seconds)
+		within(at+".for_s", t.For, 0, s.Seconds)
+		within(at+".size", t.Size, 0, 1000)
+		within(at+".extra", t.Extra, 0, 1000)
 	}
 }
 
--- a/internal/lab/sim/spec.go
+++ b/internal/lab/sim/spec.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 	"strings"
 
 	"ravenwheel/internal/decide/strict"
@@ -239,15 +238,6 @@
 	if len(s.Traffic.Classes) > 0 && !(total > 0) {
 		doc.Fail("traffic.classes", "no class has a share")
 	}
-	for i, t := range s.Troubles {
-		at := fmt.Sprintf("troubles[%d]", i)
-		if !slices.Contains(troubleKinds, t.Kind) {
-			doc.Fail(at+".kind", "kind %q is none of %s", t.Kind, strings.Join(troubleKinds, ", "))
-		}
-		within(at+".at_s", t.At, 0, s.Seconds)
-		within(at+".for_s", t.For, 0, s.Seconds)
-		within(at+".size", t.Size, 0, 1000)
-	}
 	if math.IsNaN(total) {
 		doc.Fail("traffic.classes", "shares are no numbers")
 	}
