--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -111,6 +111,10 @@
 	p.text("\nOf the day's 9,100 changes %s are taken for changes of a list: 2,500 machines fail or are replaced, %s of them caches, and each goes and",
 		number(l.ListChanges*day), number((p.FailPerDay+p.ReplacedPerDay)*p.Caches/(p.Proxies+p.Caches+p.Machines)))
 	p.text("comes. The others are taken for revisions. %s purges bind at a time.\n", held(p.Assumptions, l.Purges))
+	p.text("A purge through raft is %s to a follower and %s back, before heads of packets, against 195 B for all control. A change of one of", p.Each("raft/leader-bytes").By(1.0/raftRate).Bytes(),
+		p.Each("raft/follower-bytes").By(1.0/raftRate).Bytes())
+	p.text("10,000 servers holds the module for %s us here (the issue: 170 us on another machine or run); of 6,000, for %s us. Peers send 6 KB/s at 300", p.At("policy/change", given(10_000)), p.At("policy/change", given(6000)))
+	p.text("with four caches a zone; with 82 a zone the formulas give %s each way for digests alone.\n", p.digests(Tree).BytesOut.Rate())
 }
 
 // share writes a part of a budget, in bold where it is over.
