--- a/internal/lab/capacity/figure.go
+++ b/internal/lab/capacity/figure.go
@@ -75,11 +75,16 @@
 	return total
 }
 
-// At is a recording's fit at a size: measured between the sizes that were, extrapolated beyond.
+// At is what was measured at a size, or the recording's fit: measured between the sizes that were, extrapolated beyond.
 func (b Book) At(name string, size Figure) Figure {
 	r := b.must(name)
 	least, most := r.bounds()
 	f := Figure{Value: max(0, r.Fit.At(size.Value)), Mark: Measured}
+	for _, p := range r.Points {
+		if p.Driver == size.Value {
+			f.Value = p.Measured
+		}
+	}
 	switch {
 	case size.Value > most:
 		f.Mark, f.Beyond = Extrapolated, size.Value/most
@@ -155,6 +160,9 @@
 // Percent writes a share.
 func (f Figure) Percent() string { return f.as(number(100*f.Value) + " %") }
 
+// Microseconds writes a time.
+func (f Figure) Microseconds() string { return f.as(number(f.Value) + " us") }
+
 // Milliseconds writes a time.
 func (f Figure) Milliseconds() string {
 	if f.Value < 1 {
--- a/internal/lab/capacity/model_test.go
+++ b/internal/lab/capacity/model_test.go
@@ -37,6 +37,9 @@
 	require.Equal(t, "170 KB a, x17", both.Bytes())
 	require.Equal(t, "4.1 KB m", within.Bytes())
 	require.Equal(t, given(5).Plus(given(0)), given(5))
+	r := b["x"]
+	r.Points[1].Measured = 3300
+	require.InDelta(t, 3300, b.At("x", given(300)).Value, 0, "what was measured, and not the fit of it")
 }
 
 func TestNumbersReadAsWritten(t *testing.T) {
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -81,7 +81,7 @@
 	p.text("Made by `ravenlab capacity --write docs/CAPACITY.md` from the formulas in `internal/lab/capacity` and the recordings in")
 	p.text("`docs/measurements/capacity`; a test fails where they differ. Nobody has run 17,000 processes here: no figure on this page is a")
 	p.text("measurement of the whole fleet.\n")
-	p.text("Each figure says what it rests on: m, measured at that size or between sizes that were; x and a factor, extrapolated so many")
+	p.text("Each figure says what it rests on: m, measured at that size, or the fit between sizes that were; x and a factor, extrapolated so many")
 	p.text("times beyond the largest size that was measured; a, assumed, with a factor where a part of it was extrapolated too; nothing, the")
 	p.text("operators' letter or arithmetic on it. What is made of several has the weakest mark. KB are 1,000 bytes. Bytes are those on the")
 	p.text("wire, with heads of packets, sent and received together: the letter does not say which way its 17 KB/s count.\n")
@@ -113,7 +113,7 @@
 	p.text("comes. The others are taken for revisions. %s purges bind at a time.\n", held(p.Assumptions, l.Purges))
 	p.text("A purge through raft is %s to a follower and %s back, before heads of packets, against 195 B for all control. A change of one of", p.Each("raft/leader-bytes").By(1.0/raftRate).Bytes(),
 		p.Each("raft/follower-bytes").By(1.0/raftRate).Bytes())
-	p.text("10,000 servers holds the module for %s us here (the issue: 170 us on another machine or run); of 6,000, for %s us. Peers send 6 KB/s at 300", p.At("policy/change", given(10_000)), p.At("policy/change", given(6000)))
+	p.text("10,000 servers holds the module for %s here (the issue: 170 us); of 6,000, for %s by the fit. Peers send 6 KB/s at 300", p.At("policy/change", given(10_000)).Microseconds(), p.At("policy/change", given(6000)).Microseconds())
 	p.text("with four caches a zone; with 82 a zone the formulas give %s each way for digests alone.\n", p.digests(Tree).BytesOut.Rate())
 }
 
