--- /dev/null
+++ b/internal/peers/join.go
@@ -0,0 +1,71 @@
+package peers
+
+import "math"
+
+// join asks every seed that is not a member in sight. Guards against two halves that were cut off, or that began apart, each
+// with a seed of its own: they have given each other up, or never knew, and nobody would ask again. And it asks one of the
+// others while fewer are there than were, or most of those that are heard take others for alive than this process does: what
+// gossip tells is told a few times only. Once most agree with it, it asks no more, however many are gone.
+// Where nobody is heard, though all are taken for alive still, the others may have given this one up. And where another has
+// its name, that may be this process itself, at the address that it had before.
+func (p *Peers) join() {
+	there := map[string]bool{}
+	for _, n := range p.list.Members() {
+		there[p.net.at(n.FullAddress())] = true
+	}
+	p.mu.Lock()
+	now, most := p.opt.Clock.Now(), 0
+	for _, m := range p.members {
+		if m.State != Left {
+			most++
+		}
+	}
+	agreed, differ := p.same > p.others, p.others > p.same
+	p.same, p.others, p.joins = 0, 0, p.joins+1
+	if agreed {
+		p.asks = 0
+	}
+	ask := !agreed && (p.joins <= earlyJoins || len(there) < most || differ) || p.post.hears(hearFor) == 0
+	if ask = ask && now >= p.mayAsk; ask {
+		// Each time later: whole states of hundreds, asked for by hundreds that don't agree yet, kept 300 from ever agreeing.
+		p.mayAsk = now + askFirst*math.Exp2(min(float64(p.asks), mostDoubled))
+		p.asks++
+	}
+	ask = ask || now < p.doubted // until the others have given up the other address, which takes less
+	closed := p.closed
+	var alive []Member
+	for _, m := range p.members {
+		if m.State == Alive && m.Name != p.opt.Name {
+			alive = append(alive, *m)
+		}
+	}
+	other := ""
+	if n := len(alive); n > 0 && ask {
+		// Any of them: the seeds would have to answer all.
+		m := alive[p.rng.IntN(n)]
+		other = m.Name + "/" + m.Addr
+	} else if n := len(p.known.list); n > 0 && len(alive) == 0 {
+		other = p.known.list[p.rng.IntN(n)]
+	}
+	err := p.known.keep(p.opt.Name, alive)
+	p.mu.Unlock()
+	if closed {
+		return
+	}
+	if err != nil {
+		p.opt.Log.Error("peers").Err(err).Msg("the members of now are not remembered")
+	}
+	if other != "" {
+		_, _ = p.list.Join([]string{other})
+	}
+	for _, seed := range p.opt.Seeds {
+		if !there[seed] {
+			_, _ = p.list.Join([]string{seed}) // one that is gone holds up none of the others
+		}
+	}
+	// Spread, so that hundreds that lost each other at once do not ask all together.
+	p.mu.Lock()
+	pause := rejoinEvery * (0.5 + p.rng.Float64())
+	p.mu.Unlock()
+	p.opt.Clock.After(pause, func() { go p.join() })
+}
