Front: a crowd's connections are cut off one for each that comes; blocked clients by clock

Cause: a crowd that came faster than other goroutines ran had the same leaving connection cut off again and again, so that all of it was held: 1,000 of 19. The bound on a client that takes nothing was a write deadline of real time, and had no test. Change: who is cut off leaves the books at once, and its socket is closed before the next connection is admitted, unless another goroutine has taken that over.

--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -56,8 +56,9 @@
 	acceptPause = 10
 	// newFor: one that is silent for so many ms is no client on the point of asking.
 	newFor = 100
-	// writeWait: a client that takes nothing for so long has given up all that it waited for.
-	writeWait = 10 * time.Second
+	// takeWithin: a client that has not taken what was written for it so many ms ago has given up all that it waited for.
+	// It is seen by the sweep, at most sweepEvery later.
+	takeWithin = 10_000
 )
 
 // Front serves clients on one listener.
@@ -74,6 +75,7 @@
 	mu      sync.Mutex
 	conns   map[*guard]struct{}
 	leaving []*guard      // those of them that end, the longest first
+	cut     []*guard      // no longer of them: their sockets are about to be closed
 	halted  chan struct{} // closed once connections are accepted again; nil: they are
 }
 
@@ -155,6 +157,7 @@
 	}
 	f.clock.After(emptyEvery, f.empty)
 	now := f.clock.Now()
+	defer f.closeCut()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for g := range f.conns {
@@ -176,18 +179,25 @@
 	if p.Hears(now) {
 		return
 	}
+	defer f.closeCut()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.rest(c.nc, now, p)
 }
 
-// sweep ends the connections that have said nothing, or half of a frame, for too long.
+// sweep ends the connections that have said nothing, or half of a frame, for too long, and those whose clients take
+// nothing of what they are owed: their readers end the rest.
 func (f *Front) sweep() {
 	f.clock.After(sweepEvery, f.sweep)
+	defer f.closeCut()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.clock.Now()
 	for g := range f.conns {
-		if (!g.asked || g.half) && f.clock.Now()-g.since >= silentFor && g.leave() {
+		switch {
+		case g.client != nil && g.client.blocked(now):
+			go g.shut()
+		case (!g.asked || g.half) && now-g.since >= silentFor && g.leave():
 			f.dismiss(g)
 		}
 	}
@@ -198,6 +208,7 @@
 func (f *Front) admit(nc net.Conn) (*guard, bool) {
 	g := &guard{Conn: nc, front: f, since: f.clock.Now()}
 	g.buf.Most, g.buf.Keep = resp.MostAsked, keepIn
+	defer f.closeCut()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(f.conns)-len(f.leaving) >= int(f.most.Load()) && !f.shed() {
@@ -244,8 +255,10 @@
 // taken yet would be thrown away, and a request that crosses the close would look lost. Called under the front's lock.
 func (f *Front) end(g *guard) {
 	f.leaving = append(f.leaving, g)
-	if len(f.leaving) > 1+int(f.most.Load())/leavingShare {
-		go f.leaving[0].shut() // it has had the longest to end by itself
+	for len(f.leaving) > 1+int(f.most.Load())/leavingShare {
+		longest := f.leaving[0] // it has had the longest to end by itself
+		longest.forget()
+		f.cut = append(f.cut, longest)
 	}
 	go func() {
 		if half, ok := g.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
@@ -256,6 +269,19 @@
 	}()
 }
 
+// closeCut closes the sockets of connections that were cut off. Whoever may have cut some off calls it, once the front's lock
+// is free again and before anything else. Guards against a crowd that comes faster than other goroutines run: the next
+// connection is not accepted before the descriptor of the one that made room for it has been given back.
+func (f *Front) closeCut() {
+	f.mu.Lock()
+	cut := f.cut
+	f.cut = nil
+	f.mu.Unlock()
+	for _, g := range cut {
+		g.Conn.Close()
+	}
+}
+
 // Idle tells whether nothing is owed to any client.
 func (f *Front) Idle() bool { return f.busy.Load() == 0 }
 
@@ -332,6 +358,7 @@
 // Close is redcon's, which has the connection until its first frame is whole. Once it serves at all it closes what it holds
 // as it ends, and a connection whose first frame has just come may be among that: its request is lived and answered.
 func (g *guard) Close() error {
+	defer g.front.closeCut()
 	g.front.mu.Lock()
 	defer g.front.mu.Unlock()
 	switch {
@@ -344,17 +371,26 @@
 	return nil
 }
 
-// shut is the one place that closes the socket.
+// shut ends the connection at once.
 func (g *guard) shut() {
+	defer g.front.closeCut()
 	g.front.mu.Lock()
-	was := g.stage
+	defer g.front.mu.Unlock()
+	if g.forget() {
+		g.front.cut = append(g.front.cut, g)
+	}
+}
+
+// forget takes the connection out of the front's books: its place is free. It tells whether it was there. Called under the
+// front's lock.
+func (g *guard) forget() bool {
+	if g.stage == closed {
+		return false
+	}
 	g.stage = closed
 	delete(g.front.conns, g)
 	g.front.leaving = slices.DeleteFunc(g.front.leaving, func(o *guard) bool { return o == g })
-	g.front.mu.Unlock()
-	if was != closed {
-		g.Conn.Close()
-	}
+	return true
 }
 
 // Read hands on one whole frame after another, until the connection is to end: then it reads to the client's own end.
@@ -468,6 +504,7 @@
 	mu     sync.Mutex
 	out    []byte
 	open   map[string]context.CancelFunc // by tag
+	writes float64                       // since when the writer has been about what is written now; 0: it is not
 	closed bool
 	wake   chan struct{}
 }
@@ -589,13 +626,27 @@
 	}
 }
 
+// due is all that waits to be written, and notes since when it is. Called under the client's lock.
+func (c *client) due() []byte {
+	if c.writes = 0; len(c.out) > 0 {
+		c.writes = c.front.clock.Now()
+	}
+	return c.out[:len(c.out):len(c.out)]
+}
+
+// blocked tells whether what is written has not been taken for too long.
+func (c *client) blocked(now float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes > 0 && now-c.writes >= takeWithin
+}
+
 func (c *client) write() {
 	for range c.wake {
 		c.mu.Lock()
-		b := c.out[:len(c.out):len(c.out)]
+		b := c.due()
 		c.mu.Unlock()
 		for len(b) > 0 {
-			_ = c.nc.SetWriteDeadline(time.Now().Add(writeWait))
 			if _, err := c.nc.Write(b); err != nil {
 				c.nc.shut()
 				return
@@ -608,7 +659,7 @@
 			}
 			c.front.busy.Add(-int64(len(b)))
 			c.out = c.out[:copy(c.out, c.out[len(b):])]
-			b = c.out[:len(c.out):len(c.out)]
+			b = c.due()
 			if len(b) == 0 && cap(c.out) > keepOut {
 				c.out = nil // a burst is over: its memory goes back
 			}
--- a/internal/front/resp/leave_test.go
+++ b/internal/front/resp/leave_test.go
@@ -3,7 +3,10 @@
 import (
 	"io"
 	"net"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,3 +101,37 @@
 		require.Eventually(t, func() bool { return f.Held() == 0 }, time.Minute, time.Millisecond)
 	}
 }
+
+// stays is a client that never ends its connection, of those that a front holds.
+type stays struct {
+	net.Conn
+	held *atomic.Int64
+	gone sync.Once
+}
+
+func (*stays) CloseWrite() error { return nil }
+
+func (s *stays) Close() error {
+	s.gone.Do(func() { s.held.Add(-1) })
+	return nil
+}
+
+// A crowd comes faster than anything else in the process runs, and none of it ends by itself: each connection is accepted
+// only once the socket of the one that made room for it is closed. Once the same one was cut off for many, and 1,000 that
+// came at once were held, of 16 and 3.
+func TestCrowdComesAtOnce(t *testing.T) {
+	const most = 16
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	f := &Front{clock: clock.Manual(0), core: &counts{}, conns: map[*guard]struct{}{}}
+	f.most.Store(most)
+	var held atomic.Int64
+	worst := int64(0)
+	for range 1000 {
+		held.Add(1)
+		_, ok := f.admit(&stays{held: &held})
+		require.True(t, ok)
+		worst = max(worst, held.Load())
+	}
+	require.LessOrEqual(t, worst, int64(most+1+most/leavingShare))
+	require.EqualValues(t, worst, f.Held())
+}
