Front: nothing is accepted while a socket beyond the books is open; soak paced and stricter

Cause: a connection that is cut off leaves the books before its socket is closed. On a busy machine the goroutine that was to close it was held back while others were accepted: 503 descriptors where 383 were computed (limit 640). Now accepting waits for those closes. TestBadStart has a whole file with an unusable setting.

--- /dev/null
+++ b/cmd/ravenwheel/descriptors_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/scenario"
+)
+
+// descriptors is how many a process holds, of all kinds, as the kernel lists them.
+func descriptors(pid int) int {
+	list, _ := os.ReadDir(filepath.Join("/proc", fmt.Sprint(pid), "fd"))
+	return len(list)
+}
+
+// watchDescriptors looks again and again, and once more as it is ended; it tells the most that were held at a look.
+func watchDescriptors(pid int) (end func() (most, looks int)) {
+	stop, done := make(chan struct{}), make(chan struct{})
+	most, looks := 0, 0
+	go func() {
+		defer close(done)
+		for over := false; !over; looks++ {
+			select {
+			case <-stop:
+				over = true
+			case <-time.After(100 * time.Microsecond):
+			}
+			most = max(most, descriptors(pid))
+		}
+	}()
+	return func() (int, int) {
+		close(stop)
+		<-done
+		return most, looks
+	}
+}
+
+// crowd dials a proxy many times at once and leaves the connections be. Each says first what it is given, or nothing.
+func crowd(t *testing.T, listen string, first string, n, atOnce int) {
+	var all sync.WaitGroup
+	for range atOnce {
+		all.Go(func() {
+			for range n / atOnce {
+				nc, err := net.Dial("tcp", listen)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				t.Cleanup(func() { _ = nc.Close() })
+				_, _ = nc.Write([]byte(first)) // it may be shut already
+			}
+		})
+	}
+	all.Wait()
+}
+
+// Idle clients come by the thousand, all at once, and never end a connection themselves. The process is given no limit by
+// the system that it would meet: it stays by itself under the one of its configuration, at each look while they come, with
+// half of the places for clients, one in eight more for those that leave, and the rest to spare. A proper client gets in.
+func TestCrowdStaysUnderTheLimit(t *testing.T) {
+	const sockets, clients = 640, 4000
+	const health = "*2\r\n$10\r\nRPC.HEALTH\r\n$1\r\n1\r\n"
+	for name, first := range map[string]string{"silent": "", "asked once": health, "half a frame": health[:9]} {
+		t.Run(name, func(t *testing.T) {
+			bin, cache := build(t), scenario.Listen(t)
+			go func() {
+				for t.Context().Err() == nil {
+					if words, err := cache.Receive(); err == nil && len(words) > 1 && words[0] == "fetch" {
+						_ = cache.Send([]string{words[1], "served", "why=local,version=v1", "BYTES"})
+					}
+				}
+			}()
+			listen := freeAddr(t)
+			path := configFile(t, listen, refuses(t), cache.Addr())
+			text, err := os.ReadFile(path)
+			require.NoError(t, err)
+			text = bytes.ReplaceAll(text, []byte(`"sockets":1024`), fmt.Appendf(nil, `"sockets":%d`, sockets))
+			require.NoError(t, os.WriteFile(path, text, 0o600))
+			r := &running{cmd: exec.Command(bin), console: freeAddr(t), logs: &strings.Builder{}}
+			r.cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_CONSOLE="+r.console, "TMPDIR="+t.TempDir())
+			r.cmd.Stderr = r.logs
+			require.NoError(t, r.cmd.Start())
+			t.Cleanup(func() { _ = r.cmd.Process.Kill() })
+			r.ready(t)
+			alone := descriptors(r.cmd.Process.Pid)
+			look := watchDescriptors(r.cmd.Process.Pid)
+			crowd(t, listen, first, clients, 20)
+			// It is accepted behind the whole crowd; as any client, it comes again if its connection is shut.
+			for until := time.Now().Add(time.Minute); ; {
+				there, err := served(listen)
+				if there && err == nil {
+					break
+				}
+				require.True(t, time.Now().Before(until), "%v %v", there, err)
+			}
+			most, looks := look()
+			t.Logf("%d descriptors of %d at the most, in %d looks; %d with no client", most, sockets, looks, alone)
+			require.LessOrEqual(t, most, alone+sockets/2+(1+sockets/2/8)+1+spare, "half for clients, one in eight more, one on its way")
+			require.Less(t, most, sockets)
+			require.Greater(t, most, alone+sockets/2-spare, "the places were taken: the test has filled them")
+			require.NoError(t, r.cmd.Process.Signal(os.Interrupt))
+			require.NoError(t, r.cmd.Wait(), r.logs.String())
+		})
+	}
+}
+
+// spare descriptors come and go beside those of clients: the notice board is dialled, the console is asked.
+const spare = 6
--- a/cmd/ravenwheel/serve_test.go
+++ b/cmd/ravenwheel/serve_test.go
@@ -191,13 +191,21 @@
 func TestBadStart(t *testing.T) {
 	bin, bad := build(t), filepath.Join(t.TempDir(), "bad.json")
 	require.NoError(t, os.WriteFile(bad, []byte(`{"seed":"xyz"}`), 0o600))
-	for _, path := range []string{"", "nosuchfile", bad} {
+	// A whole file whose settings can't be used: the place is named.
+	whole, err := os.ReadFile(configFile(t, freeAddr(t), freeAddr(t), freeAddr(t)))
+	require.NoError(t, err)
+	endless := filepath.Join(t.TempDir(), "endless.json")
+	require.NoError(t, os.WriteFile(endless, bytes.Replace(whole, []byte(`"DeadlineUs":60000000`), []byte(`"DeadlineUs":0`), 1), 0o600))
+	for _, path := range []string{"", "nosuchfile", bad, endless} {
 		cmd := exec.Command(bin, "serve")
 		cmd.Env = append(os.Environ(), "LB_CONFIG="+path)
 		out, err := cmd.CombinedOutput()
 		require.Error(t, err)
 		require.Equal(t, 1, cmd.ProcessState.ExitCode())
 		require.Equal(t, 1, bytes.Count(out, []byte("\n")), string(out))
+		if path == endless {
+			require.Contains(t, string(out), "settings.Grades[0].DeadlineUs: 0 is not above 0")
+		}
 	}
 	// A directory without a journal is not called whole: it may be the wrong one.
 	empty := t.TempDir()
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -76,12 +76,15 @@
 	conns   map[*guard]struct{}
 	leaving []*guard      // those of them that end, the longest first
 	cut     []*guard      // no longer of them: their sockets are about to be closed
+	closing int           // how many have left the books and still have a descriptor
+	closed  sync.Cond     // one of those was closed; under mu
 	halted  chan struct{} // closed once connections are accepted again; nil: they are
 }
 
 // New returns a front on ln that holds at most so many connections.
 func New(ln net.Listener, most int, c *clock.Clock, d Doer) *Front {
 	f := &Front{clock: c, core: d, ln: ln, conns: map[*guard]struct{}{}}
+	f.closed.L = &f.mu
 	f.most.Store(int64(most))
 	f.takes.Store(true)
 	f.plan.Store(&drain.Plan{})
@@ -257,8 +260,9 @@
 	f.leaving = append(f.leaving, g)
 	for len(f.leaving) > 1+int(f.most.Load())/leavingShare {
 		longest := f.leaving[0] // it has had the longest to end by itself
-		longest.forget()
-		f.cut = append(f.cut, longest)
+		if longest.forget() {
+			f.cut = append(f.cut, longest)
+		}
 	}
 	go func() {
 		if half, ok := g.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
@@ -280,6 +284,20 @@
 	for _, g := range cut {
 		g.Conn.Close()
 	}
+	f.mu.Lock()
+	f.closing -= len(cut)
+	f.mu.Unlock()
+	f.closed.Broadcast()
+}
+
+// awaitCloses returns once no descriptor is held beyond the books. Guards against a goroutine that was to close a socket and is
+// held back on a busy machine, while the connection that takes its place is accepted, and the next one.
+func (f *Front) awaitCloses() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for f.closing > 0 {
+		f.closed.Wait()
+	}
 }
 
 // Idle tells whether nothing is owed to any client.
@@ -306,6 +324,7 @@
 		if halt := g.front.halt(); halt != nil {
 			<-halt
 		}
+		g.front.awaitCloses()
 		nc, err := g.Listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue
@@ -388,6 +407,7 @@
 		return false
 	}
 	g.stage = closed
+	g.front.closing++
 	delete(g.front.conns, g)
 	g.front.leaving = slices.DeleteFunc(g.front.leaving, func(o *guard) bool { return o == g })
 	return true
--- a/internal/front/resp/leave_test.go
+++ b/internal/front/resp/leave_test.go
@@ -135,3 +135,30 @@
 	require.LessOrEqual(t, worst, int64(most+1+most/leavingShare))
 	require.EqualValues(t, worst, f.Held())
 }
+
+// A connection that is cut off has left the books, and the goroutine that is to close its socket is held back. Nothing is
+// accepted until the socket is closed: a busy machine once held 503 descriptors, where 383 were computed.
+func TestAcceptWaitsForCloses(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	f := New(ln, 1, clock.Manual(0), &counts{})
+	g := &guard{Conn: late{}, front: f}
+	f.mu.Lock()
+	f.conns[g] = struct{}{}
+	require.True(t, g.forget())
+	f.cut = append(f.cut, g)
+	f.mu.Unlock()
+	accepts := make(chan struct{})
+	go func() { f.awaitCloses(); close(accepts) }()
+	for range 100 {
+		runtime.Gosched()
+	}
+	select {
+	case <-accepts:
+		require.Fail(t, "a descriptor more was taken while one is held beyond the books")
+	default:
+	}
+	f.closeCut()
+	<-accepts
+}
--- a/internal/front/resp/soak_test.go
+++ b/internal/front/resp/soak_test.go
@@ -30,6 +30,10 @@
 // The clock of a soak moves on by so many ms at a time, while requests are open and once all are answered.
 const openStep, idleStep = 50, 250
 
+// atOnce: so many requests of a second come in one instant. Guards against what is chance: of a second's requests in one
+// instant, the module refuses those that find none of the others answered yet.
+const atOnce = 15
+
 // TestSoak plays minutes of churn: new objects all the time, caches are replaced, connections come and go, purges are told.
 // What may grow is bounded and full when the first heap is read: the module's memory of hit holders and of purges, 16,384
 // entries each, and the caches' copies. From then on, at one rate, the heap after a collection stays within a twentieth.
@@ -43,6 +47,8 @@
 }
 
 func (s soak) run(t *testing.T) {
+	// Few threads: to look at all goroutines stops them, and on a busy machine each further one is waited for.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(2))
 	clk := clock.Manual(1_764_576_000_000)
 	servers := fleet.New(fleet.Options{Clock: clk, Held: 256})
 	defer servers.Close()
@@ -77,18 +83,19 @@
 	calm := newRest(t)
 	ask := func(n int) {
 		end := clk.Now() + 1000
-		for i := range n {
-			tag++
-			asked++
-			obj := max(1, object-i) // what was new a second ago: a hit, whose holder is remembered
-			if i < n/2 {
-				object++
-				obj = object
+		got := make(chan []string, n)
+		left := n
+		take := func() {
+			for range len(got) {
+				words := <-got
+				left--
+				require.Greater(t, len(words), 1, words)
+				require.Contains(t, []string{"ok", "full"}, words[1])
+				if words[1] == "ok" {
+					served++
+				}
 			}
-			require.NoError(t, clients[i%len(clients)].Send([]string{"RPC.CALL", fmt.Sprint(tag), "asset",
-				fmt.Sprintf("rid=%016x,budget=2500,obj=%016x,nth=0,batch=%d", tag, obj, obj%256)}))
 		}
-		got := make(chan []string, n)
 		for i, c := range clients {
 			go func() {
 				for range (n + len(clients) - 1 - i) / len(clients) {
@@ -100,22 +107,25 @@
 				}
 			}()
 		}
-		left := n
-		took := func() (all bool) {
-			for range len(got) {
-				words := <-got
-				left--
-				require.Greater(t, len(words), 1, words)
-				require.Contains(t, []string{"ok", "full"}, words[1])
-				if words[1] == "ok" {
-					served++
-				}
+		for i := range n {
+			tag++
+			asked++
+			obj := max(1, object-i) // what was new a second ago: a hit, whose holder is remembered
+			if i < n/2 {
+				object++
+				obj = object
+			}
+			require.NoError(t, clients[i%len(clients)].Send([]string{"RPC.CALL", fmt.Sprint(tag), "asset",
+				fmt.Sprintf("rid=%016x,budget=2500,obj=%016x,nth=0,batch=%d", tag, obj, obj%256)}))
+			if (i+1)%atOnce == 0 {
+				calm.advance(clk, 1000*atOnce/float64(n), 1000)
 			}
-			return left == 0
 		}
-		for calm.wait(); !took(); calm.wait() {
-			require.Less(t, clk.Now(), end+5000, "%d are never answered", left) // twice the budget
-			clk.Advance(openStep)
+		for calm.wait(); left > 0; calm.wait() {
+			if take(); left > 0 {
+				require.Less(t, clk.Now(), end+5000, "%d are never answered", left) // twice the budget
+				clk.Advance(openStep)
+			}
 		}
 		calm.advance(clk, max(0, end-clk.Now()), idleStep)
 	}
@@ -170,7 +180,8 @@
 			goroutines = runtime.NumGoroutine()
 		}
 	}
+	t.Logf("%d of %d served, the heap at the end %.3f of what it was once the tables were full", served, asked, late/early)
 	require.LessOrEqual(t, late, early*1.05, "%.0f KB after collections at the end, %.0f once the tables were full", late/1024, early/1024)
-	require.Greater(t, served, asked*9/10, "of %d", asked)
+	require.Greater(t, served, asked*99/100, "of %d", asked)
 	require.Zero(t, invariant.Broken())
 }
