--- a/internal/decide/distribution/check/check.go
+++ b/internal/decide/distribution/check/check.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// Begin books that the store begins an epoch, with nothing up to a sequence but what is committed next.
+func (h *History) Begin(at distribution.Position) {
+	if h.latest.Before(at) {
+		h.latest = at
+	}
+}
+
 // Clone copies it for a model that branches.
 func (h *History) Clone() *History {
 	c := &History{epochs: map[uint64][]fact{}, latest: h.latest}
--- a/internal/decide/distribution/choose.go
+++ b/internal/decide/distribution/choose.go
@@ -128,7 +128,7 @@
 
 func (s *Subscriber) connect(p Peer) {
 	s.link++
-	s.at, s.phase, s.heard = p, connecting, s.now
+	s.at, s.phase, s.heard, s.taken = p, connecting, s.now, 0
 	s.do(Connect{Link: s.link, To: p})
 }
 
--- /dev/null
+++ b/internal/decide/distribution/choose_test.go
@@ -0,0 +1,97 @@
+package distribution_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ravenwheel/internal/decide/distribution"
+)
+
+func drawPeer(t *rapid.T, name string) distribution.Peer {
+	draw := func(of string) string { return rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, of) }
+	return distribution.Peer{Name: name, Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Region: draw("region"), Zone: draw("zone"), Site: draw("site")}
+}
+
+// Whoever subscribes where it likes among its candidates, there is no cycle, and each way ends at the store.
+func TestNoCycleOfSubscriptions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		peers := []distribution.Peer{{Name: "store"}}
+		for i := range rapid.IntRange(1, 25).Draw(t, "peers") {
+			peers = append(peers, drawPeer(t, fmt.Sprint("p", i)))
+		}
+		chosen := map[string]distribution.Peer{}
+		for _, p := range peers {
+			order := distribution.Order(p, peers)
+			if p.Rank > 0 {
+				require.NotEmpty(t, order)
+				chosen[p.Name] = rapid.SampledFrom(order).Draw(t, "chosen")
+			} else {
+				require.Empty(t, order)
+			}
+		}
+		for _, p := range peers {
+			for steps := 0; p.Rank > 0; steps++ {
+				require.Less(t, chosen[p.Name].Rank, p.Rank)
+				require.Less(t, steps, 4, "a way that does not end")
+				p = chosen[p.Name]
+			}
+		}
+	})
+}
+
+// A distributor refuses who is not below it, whatever its candidates said.
+func TestRankIsCheckedByWhoIsAsked(t *testing.T) {
+	d := distribution.NewDistributor(distribution.Defaults(distribution.Purges, distribution.Peer{Name: "d", Rank: 2}))
+	d.Handle(0, distribution.Replace{Epoch: 1, Through: 1, Mark: distribution.Watermark{Sequence: 1, At: 1}})
+	for rank, taken := range map[int]int{1: 0, 2: 0, 3: 1} {
+		d.Handle(1, distribution.Received{Link: distribution.Link(rank), Message: distribution.Subscribe{Stream: distribution.Purges, Name: fmt.Sprint(rank), Rank: rank, Credit: 1000}})
+		if rank == 3 {
+			require.Equal(t, taken, d.Subscribers())
+		}
+	}
+	require.Equal(t, 1, d.Subscribers())
+}
+
+func TestNearerFirst(t *testing.T) {
+	self := distribution.Peer{Name: "self", Rank: 3, Region: "r", Zone: "z", Site: "s"}
+	peers := []distribution.Peer{
+		{Name: "far", Rank: 2, Region: "q", Zone: "y", Site: "t"},
+		{Name: "store", Rank: 0, Region: "r", Zone: "z", Site: "s"},
+		{Name: "region", Rank: 1, Region: "r", Zone: "y", Site: "t"},
+		{Name: "next zone", Rank: 2, Region: "r", Zone: "x", Site: "t"},
+		{Name: "zone", Rank: 2, Region: "r", Zone: "z", Site: "t"},
+		{Name: "site", Rank: 2, Region: "r", Zone: "z", Site: "s"},
+		{Name: "beside", Rank: 3, Region: "r", Zone: "z", Site: "s"},
+	}
+	var order []string
+	for _, p := range distribution.Order(self, peers) {
+		order = append(order, p.Name)
+	}
+	require.Equal(t, []string{"site", "zone", "next zone", "region", "store", "far"}, order)
+}
+
+// The loss of one of a zone's distributors moves only those that it had, and spreads them.
+func TestLossMovesOnlyItsOwn(t *testing.T) {
+	var peers []distribution.Peer
+	for i := range 6 {
+		peers = append(peers, distribution.Peer{Name: fmt.Sprint("d", i), Rank: 2, Region: "r", Zone: "z"})
+	}
+	moved, had := map[string]int{}, 0
+	for i := range 600 {
+		self := distribution.Peer{Name: fmt.Sprint("proxy", i), Rank: 3, Region: "r", Zone: "z"}
+		before, after := distribution.Order(self, peers)[0], distribution.Order(self, peers[1:])[0]
+		if before.Name == "d0" {
+			had++
+			moved[after.Name]++
+			continue
+		}
+		require.Equal(t, before, after)
+	}
+	require.Len(t, moved, 5)
+	for name, n := range moved {
+		require.Less(t, n, had/2, name)
+	}
+}
--- a/internal/decide/distribution/distributor.go
+++ b/internal/decide/distribution/distributor.go
@@ -32,8 +32,9 @@
 type member struct {
 	link     Link
 	name     string
-	window   int // what may be under way
-	credit   int // what is left of it
+	window   int    // what may be under way
+	credit   int    // what is left of it
+	given    uint64 // bytes sent against it, since the link is open
 	behind   bool
 	cursor   uint64    // the sequence up to which all was sent; of no meaning while behind
 	snapshot *snapshot // on its way
@@ -240,7 +241,8 @@
 		d.links[link] = x
 		d.members = append(d.members, x)
 	}
-	x.window, x.credit, x.heard = m.Credit, m.Credit, d.now
+	underWay := x.given - min(m.Taken, x.given)
+	x.window, x.credit, x.heard = m.Credit, m.Credit-int(underWay), d.now
 	x.cursor, x.snapshot, x.chunk = m.From.Sequence, nil, 0
 	x.behind = m.From.Epoch != d.epoch || m.From.Sequence < d.backlog.floor
 	d.heartbeat([]*member{x})
@@ -334,6 +336,7 @@
 			return false
 		}
 		m.credit -= len(f.Bytes)
+		m.given += uint64(len(f.Bytes))
 		m.sent = d.now
 		i, known := frames[f]
 		if !known {
--- a/internal/decide/distribution/export_test.go
+++ b/internal/decide/distribution/export_test.go
@@ -81,7 +81,7 @@
 // Print appends all that decides what a Subscriber does next, but for the state of its draws and numbers of links.
 func (s *Subscriber) Print(b []byte) []byte {
 	p := print(b)
-	p.whole(uint64(s.phase), uint64(s.again), uint64(s.owed), s.epoch, s.applied, s.seen)
+	p.whole(uint64(s.phase), uint64(s.again), uint64(s.owed), s.taken, s.epoch, s.applied, s.seen)
 	p = append(p, s.at.Name...)
 	p.real(s.until, s.heard, s.asked, s.moved, s.said, s.risen, s.returnAt, s.easeAt)
 	p.real(s.state.Oldest, s.state.FreshUntil, s.state.Watermark)
@@ -119,7 +119,7 @@
 	}
 	for _, m := range d.members {
 		p = append(p, m.name...)
-		p.whole(uint64(m.window), uint64(int64(m.credit)), m.cursor, uint64(m.chunk))
+		p.whole(uint64(m.window), uint64(int64(m.credit)), m.given, m.cursor, uint64(m.chunk))
 		p.real(m.heard, m.sent)
 		p.flags(m.behind, m.snapshot != nil)
 		if m.snapshot != nil {
@@ -137,6 +137,9 @@
 // Pending is the watermark that does not hold yet.
 func (s *Subscriber) Pending() Watermark { return s.pending }
 
+// Linked tells whether messages are taken.
+func (s *Subscriber) Linked() bool { return s.phase >= asking }
+
 // GatherIndex is the chunk that comes next.
 func (s *Subscriber) GatherIndex() int {
 	if s.gather == nil {
@@ -164,9 +167,5 @@
 // Unlimited has a Distributor keep all.
 func (d *Distributor) Unlimited() { d.set.BacklogEntries, d.set.BacklogBytes = 1<<30, 1<<30 }
 
-// Prudent has a Distributor take each entry that is missing for sent: nobody falls back to a snapshot.
-func (d *Distributor) Prudent() {
-	for _, m := range d.members {
-		m.behind, m.snapshot = false, nil
-	}
-}
+// Boastful has a Distributor take its backlog for one that begins with the stream.
+func (d *Distributor) Boastful() { d.backlog.floor = 0 }
--- a/internal/decide/distribution/message.go
+++ b/internal/decide/distribution/message.go
@@ -69,13 +69,15 @@
 
 type (
 	// Subscribe opens a subscription, and is said again on the same link after a gap. From is what the subscriber has,
-	// zero: nothing. Credit is how many bytes of batches and chunks may be under way to it.
+	// zero: nothing. Credit is how many bytes of batches and chunks may be under way to it, and Taken how many it has taken
+	// in on this link: what is under way from before counts on.
 	Subscribe struct {
 		Stream Stream
 		Name   string
 		Rank   int
 		From   Position
 		Credit int
+		Taken  uint64
 	}
 	// Credit gives back what the subscriber has taken in. With 0 bytes it says that the subscriber lives.
 	Credit struct {
--- a/internal/decide/distribution/model_test.go
+++ b/internal/decide/distribution/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +33,7 @@
 	breaks  int
 	kinds   []breakage
 	commits int // committed and not delivered when it begins
+	before  func(w *world)
 	heal    int // one state in so many is healed, and must end with everybody complete
 }
 
@@ -40,8 +42,12 @@
 	{name: "cut", without: atRight, depth: 7, faults: 1, breaks: 1, kinds: []breakage{cuts}, heal: 11},
 	{name: "crash", without: atRight, depth: 7, breaks: 2, kinds: []breakage{cuts, crashes}, heal: 11},
 	{name: "stop", without: atRight, depth: 7, breaks: 1, kinds: []breakage{stops}, heal: 11},
-	{name: "epoch", without: atRight, depth: 6, faults: 1, breaks: 1, kinds: []breakage{epochs}, heal: 11},
+	{name: "epoch", without: atRight, depth: 7, faults: 1, breaks: 1, kinds: []breakage{epochs}, heal: 11},
 	{name: "behind", without: atRight, depth: 7, faults: 1, breaks: 1, kinds: []breakage{cuts}, commits: 4, heal: 11},
+	{name: "old", without: atRight, depth: 6, faults: 1, breaks: 1, kinds: []breakage{epochs}, before: leftBehind, heal: 11},
+	{name: "old chunks", without: atRight, depth: 5, breaks: 1, kinds: []breakage{cuts}, before: lateChunks, heal: 11},
+	{name: "old batch", without: atRight, depth: 5, breaks: 1, kinds: []breakage{cuts}, before: lateBatch, heal: 11},
+	{name: "asleep", without: atRight, depth: 6, breaks: 1, kinds: []breakage{cuts}, before: leafAsleep, heal: 11},
 	{name: "four", depth: 5, faults: 1, breaks: 1, kinds: []breakage{cuts, crashes, stops, epochs}, heal: 23},
 }
 
@@ -71,14 +77,14 @@
 			add(func(w *world) { w.breaks--; w.cut(at) }, "%s cut", pair)
 		}
 	}
-	if w.next < len(script) {
+	if w.next < len(w.script) {
 		add(func(w *world) { w.commit() }, "commit %d", w.next)
 	}
 	add(func(w *world) { w.pass() }, "time")
 	for _, i := range []int{atLeft, atLeaf} {
 		switch {
 		case w.stopped[i]:
-			add(func(w *world) { w.stopped[i] = false }, "%s wakes", names[i])
+			add(func(w *world) { w.resume(i) }, "%s wakes", names[i])
 		case w.breaks > 0 && r.allows(stops):
 			add(func(w *world) { w.breaks--; w.stopped[i] = true }, "%s stops", names[i])
 		}
@@ -87,7 +93,7 @@
 		add(func(w *world) { w.breaks--; w.crash(atLeft) }, "left crashes")
 	}
 	if w.breaks > 0 && r.allows(epochs) {
-		add(func(w *world) { w.breaks--; w.restore(2) }, "a new epoch")
+		add(func(w *world) { w.breaks--; w.restore() }, "a new epoch")
 	}
 	return all
 }
@@ -135,6 +141,62 @@
 	return false
 }
 
+// leftBehind has a relay that has just come back, with its snapshot on the way.
+func leftBehind(w *world) {
+	w.crash(atLeft)
+	for range 20 {
+		for at := range w.wires {
+			if w.wires[at].from == atLeft && len(w.wires[at].up) > 0 {
+				w.deliverUp(at)
+			}
+			if w.wires[at].from == atLeft && len(w.wires[at].down) > 2 {
+				return
+			}
+		}
+		w.tidy()
+		w.pass()
+	}
+}
+
+// late has messages to the left relay, kept from the epoch before, come behind those of the new one.
+func (w *world) late(kept []distribution.Message) {
+	w.settle()
+	w.restore()
+	w.settle()
+	at := w.wireFrom(atLeft)
+	w.wires[at].down = append(w.wires[at].down, kept...)
+}
+
+func (w *world) wireFrom(from int) int {
+	return slices.IndexFunc(w.wires, func(l wire) bool { return l.from == from && l.open })
+}
+
+func lateChunks(w *world) {
+	leftBehind(w)
+	var kept []distribution.Message
+	for _, m := range w.wires[w.wireFrom(atLeft)].down {
+		if _, isChunk := m.(distribution.Chunk); isChunk {
+			kept = append(kept, m)
+		}
+	}
+	w.late(kept)
+}
+
+func lateBatch(w *world) {
+	w.commit()
+	w.late(slices.Clone(w.wires[w.wireFrom(atLeft)].down))
+}
+
+// leafAsleep has a leaf that was stopped for longer than its bound, and what was sent meanwhile.
+func leafAsleep(w *world) {
+	w.stopped[atLeaf] = true
+	w.commit()
+	for until := w.now + 3000; w.now < until; {
+		w.settle()
+		w.pass()
+	}
+}
+
 // found is what a search came to.
 type found struct {
 	states, healed int
@@ -155,10 +217,13 @@
 		}
 		return last
 	}
-	start := newWorld(2, r.without, m)
+	start := newWorld(r.without, m)
 	for range r.commits {
 		start.commit()
 	}
+	if r.before != nil {
+		r.before(start)
+	}
 	start.faults, start.breaks = r.faults, r.breaks
 	if start.broken != nil {
 		return found{err: start.broken, path: "the start"}
@@ -211,3 +276,14 @@
 		})
 	}
 }
+
+func TestMutationsAreCaught(t *testing.T) {
+	for _, m := range mutations {
+		t.Run(m.name, func(t *testing.T) {
+			t.Parallel()
+			f := m.caught()
+			require.Error(t, f.err, "%s does not catch it in %d states", m.run, f.states)
+			t.Logf("%s after %d states: %v (%s)", m.run, f.states, f.err, f.path)
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/distribution/stream_test.go
@@ -0,0 +1,199 @@
+package distribution_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ravenwheel/internal/decide/distribution"
+	"ravenwheel/internal/decide/distribution/check"
+)
+
+// drawScript is what the store commits: few names, so that much is covered by something later.
+func drawScript(t *rapid.T, stream distribution.Stream) []distribution.Entry {
+	var all []distribution.Entry
+	for i := range rapid.IntRange(1, 25).Draw(t, "commits") {
+		name := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "name")
+		made := rapid.Int64Range(100, 200).Draw(t, "made")
+		until := rapid.SampledFrom([]int64{0, 13_000, 20_000, 90_000}).Draw(t, "until")
+		e := distribution.Entry{Kind: distribution.PurgeObject, Name: name, Group: int64(name[0]) % 2, Grouped: name != "z", Made: made, Until: until}
+		switch {
+		case stream == distribution.Configuration:
+			kind := rapid.SampledFrom([]distribution.Kind{distribution.Revision, distribution.List, distribution.Drain, distribution.DrainEnded}).Draw(t, "kind")
+			e = distribution.Entry{Kind: kind, Name: name, Made: made}
+			if kind == distribution.Revision || kind == distribution.List {
+				e.Number, e.Body = uint64(i+1), []byte(name)
+			}
+		case rapid.IntRange(0, 3).Draw(t, "group") == 0:
+			e = distribution.Entry{Kind: distribution.PurgeGroup, Group: rapid.Int64Range(0, 1).Draw(t, "which"), Made: made, Until: until}
+		}
+		all = append(all, e)
+	}
+	return all
+}
+
+// Long walks of the model, with four processes and all faults: what the exhaustive one can't reach in depth.
+func testWalk(t *testing.T, stream distribution.Stream) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{stream: stream, script: drawScript(t, stream)}
+		w.begin()
+		w.faults = rapid.IntRange(0, 15).Draw(t, "faults")
+		w.breaks = rapid.IntRange(0, 8).Draw(t, "breaks")
+		r := run{kinds: []breakage{cuts, crashes, stops, epochs}}
+		for range rapid.IntRange(1, 150).Draw(t, "moves") {
+			moves := r.moves(w)
+			moves[rapid.IntRange(0, len(moves)-1).Draw(t, "move")].make(w)
+			w.tidy()
+			require.NoError(t, w.broken)
+		}
+		require.NoError(t, w.heal())
+	})
+}
+
+func TestPurgesUnderDrawnFaults(t *testing.T) { testWalk(t, distribution.Purges) }
+
+func TestConfigurationUnderDrawnFaults(t *testing.T) { testWalk(t, distribution.Configuration) }
+
+// naive is a subscriber of a stream without holes, written as plainly as can be.
+type naive struct {
+	have    bool
+	at      distribution.Position
+	seen    uint64
+	chunks  []distribution.Chunk
+	fenced  bool
+	entries map[uint64]int // of the epoch, how often each was put in force
+}
+
+func (n *naive) take(m distribution.Message) {
+	switch m := m.(type) {
+	case distribution.Batch:
+		if n.hear(m.Epoch); !n.fenced && n.have && m.Epoch == n.at.Epoch && m.After <= n.at.Sequence && n.at.Sequence < m.Through {
+			for _, e := range m.Entries {
+				if e.Sequence > n.at.Sequence {
+					n.entries[e.Sequence]++
+				}
+			}
+			n.at.Sequence = m.Through
+		}
+	case distribution.Heartbeat:
+		n.hear(m.Epoch)
+	case distribution.Chunk:
+		n.hear(m.Epoch)
+		n.chunk(m)
+	}
+}
+
+func (n *naive) hear(epoch uint64) {
+	n.fenced = epoch < n.seen
+	n.seen = max(n.seen, epoch)
+}
+
+func (n *naive) chunk(m distribution.Chunk) {
+	switch {
+	case n.fenced:
+		return
+	case n.have && m.Epoch == n.at.Epoch && m.Through < n.at.Sequence:
+		n.chunks = nil
+		return
+	case m.Index == 0:
+		n.chunks = nil
+	case len(n.chunks) != m.Index || n.chunks[0].Epoch != m.Epoch || n.chunks[0].Through != m.Through || n.chunks[0].Mark != m.Mark:
+		n.chunks = nil
+		return
+	}
+	if n.chunks = append(n.chunks, m); !m.Last {
+		return
+	}
+	if m.Epoch != n.at.Epoch {
+		n.entries = map[uint64]int{}
+	}
+	for _, c := range n.chunks {
+		for _, e := range c.Entries {
+			n.entries[e.Sequence] = 1
+		}
+	}
+	n.have, n.at, n.chunks = true, distribution.Position{Epoch: m.Epoch, Sequence: m.Through}, nil
+}
+
+// drawTrue is a message that a distributor may say at some time of two epochs of ten entries, none of which covers another.
+func drawTrue(t *rapid.T) distribution.Message {
+	epoch := rapid.Uint64Range(1, 2).Draw(t, "epoch")
+	through := rapid.Uint64Range(1, 10).Draw(t, "through")
+	mark := distribution.Watermark{Sequence: through, At: int64(through) * 100}
+	switch rapid.IntRange(0, 3).Draw(t, "what") {
+	case 0:
+		return distribution.Heartbeat{Stream: distribution.Purges, Epoch: epoch, Mark: mark}
+	case 1:
+		index := rapid.IntRange(0, 1).Draw(t, "index")
+		half := through / 2
+		c := distribution.Chunk{Stream: distribution.Purges, Epoch: epoch, Through: through, Mark: mark, Index: index, Last: index == 1}
+		if index == 0 {
+			c.Entries = trueEntries(epoch, 0, half)
+		} else {
+			c.Entries = trueEntries(epoch, half, through)
+		}
+		return c
+	default:
+		after := rapid.Uint64Range(0, through).Draw(t, "after")
+		return distribution.Batch{Stream: distribution.Purges, Epoch: epoch, After: after, Through: through, Mark: mark, Entries: trueEntries(epoch, after, through)}
+	}
+}
+
+func trueEntries(epoch, after, through uint64) []distribution.Entry {
+	var entries []distribution.Entry
+	for s := after + 1; s <= through; s++ {
+		entries = append(entries, distribution.Entry{Sequence: s, Kind: distribution.PurgeObject, Name: fmt.Sprint(epoch, "/", s), Made: 1})
+	}
+	return entries
+}
+
+// A subscriber that is told true things in any order, often twice or never, is always where the plain one is.
+func TestSubscriberIsWhereThePlainOneIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := &check.History{}
+		for epoch := uint64(1); epoch <= 2; epoch++ {
+			for _, e := range trueEntries(epoch, 0, 10) {
+				h.Commit(epoch, e, int64(e.Sequence)*100)
+			}
+		}
+		w := &world{stream: distribution.Purges}
+		s, seen, plain := distribution.NewSubscriber(w.settings(atLeaf)), check.NewProcess(h), &naive{entries: map[uint64]int{}}
+		now, link := 1000.0, distribution.Link(0)
+		handle := func(e distribution.Event) {
+			for _, a := range s.Handle(now, e) {
+				require.NoError(t, seen.Observe(a))
+				if c, isConnect := a.(distribution.Connect); isConnect {
+					link = c.Link
+				}
+			}
+			require.NoError(t, seen.Claims(s.Watermark()))
+		}
+		handle(distribution.Candidates{Peers: peers})
+		for range rapid.IntRange(1, 60).Draw(t, "messages") {
+			for open := false; !open; now++ { // a link at all times, whatever made it leave the last
+				before := link
+				handle(distribution.Tick{})
+				handle(distribution.Connected{Link: link})
+				_, following := s.At()
+				open = following || link != before || link != 0
+			}
+			m := drawTrue(t)
+			if linked := s.Linked(); linked {
+				plain.take(m)
+				handle(distribution.Received{Link: link, Message: m, Bytes: 10})
+			}
+			if !s.Linked() {
+				plain.chunks = nil // what was under way is void with the link
+			}
+			if s.GatherIndex() == 0 {
+				plain.chunks = nil
+			}
+			require.Equal(t, plain.at, s.Position())
+			for sequence, times := range plain.entries {
+				require.Equal(t, 1, times, "entry %d", sequence)
+			}
+		}
+	})
+}
--- a/internal/decide/distribution/subscriber.go
+++ b/internal/decide/distribution/subscriber.go
@@ -31,6 +31,7 @@
 	said  float64 // the last message to the distributor
 	risen float64 // when the watermark last rose, or the link was opened
 	owed  int     // bytes taken in and not given back
+	taken uint64  // bytes taken in on this link
 
 	returnAt float64 // 0: there is no nearer one
 
@@ -125,7 +126,8 @@
 	if s.have {
 		from = s.Position()
 	}
-	s.say(Subscribe{Stream: s.set.Stream, Name: s.set.Self.Name, Rank: s.set.Self.Rank, From: from, Credit: s.set.Credit})
+	s.say(Subscribe{Stream: s.set.Stream, Name: s.set.Self.Name, Rank: s.set.Self.Rank, From: from,
+		Credit: s.set.Credit, Taken: s.taken})
 }
 
 // resume asks once more, as something is missing; not more often than an answer takes.
@@ -177,7 +179,10 @@
 }
 
 // take counts what came against the credit. It is given back by half, after what it brought is in force.
-func (s *Subscriber) take(bytes int) { s.owed += bytes }
+func (s *Subscriber) take(bytes int) {
+	s.owed += bytes
+	s.taken += uint64(bytes)
+}
 
 func (s *Subscriber) giveBack() {
 	if s.linked() && (2*s.owed >= s.set.Credit || s.now >= s.said+s.set.AliveEvery) {
--- a/internal/decide/distribution/wire.go
+++ b/internal/decide/distribution/wire.go
@@ -39,7 +39,7 @@
 	case Subscribe:
 		b = append(b, wireSubscribe, byte(m.Stream))
 		b = appendText(b, m.Name)
-		b = appendNumbers(b, uint64(m.Rank), m.From.Epoch, m.From.Sequence, uint64(m.Credit))
+		b = appendNumbers(b, uint64(m.Rank), m.From.Epoch, m.From.Sequence, uint64(m.Credit), m.Taken)
 	case Credit:
 		b = appendNumbers(append(b, wireCredit, byte(m.Stream)), uint64(m.Bytes))
 	case Leave:
@@ -288,7 +288,7 @@
 	switch kind {
 	case wireSubscribe:
 		m = Subscribe{Stream: stream, Name: string(r.bytes()), Rank: r.small(),
-			From: Position{Epoch: r.number(), Sequence: r.number()}, Credit: r.small()}
+			From: Position{Epoch: r.number(), Sequence: r.number()}, Credit: r.small(), Taken: r.number()}
 	case wireCredit:
 		m = Credit{Stream: stream, Bytes: r.small()}
 	case wireLeave:
--- /dev/null
+++ b/internal/decide/distribution/wire_test.go
@@ -0,0 +1,129 @@
+package distribution_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ravenwheel/internal/decide/distribution"
+)
+
+// At some time in 2026, Unix ms.
+const someDay = 1_780_000_000_000
+
+func drawEntry(t *rapid.T, sequence uint64) distribution.Entry {
+	e := distribution.Entry{
+		Sequence: sequence,
+		Kind:     rapid.SampledFrom([]distribution.Kind{distribution.PurgeObject, distribution.PurgeGroup, distribution.Revision, distribution.List, distribution.Drain, distribution.DrainEnded}).Draw(t, "kind"),
+		Name:     rapid.StringN(0, 40, 80).Draw(t, "name"),
+		Made:     someDay - rapid.Int64Range(-60_000, 86_400_000).Draw(t, "made"),
+	}
+	if rapid.Bool().Draw(t, "ends") {
+		e.Until = e.Made + rapid.Int64Range(1, 86_400_000).Draw(t, "until")
+	}
+	if e.Kind == distribution.PurgeGroup || rapid.Bool().Draw(t, "grouped") {
+		e.Group = rapid.Int64().Draw(t, "group")
+		e.Grouped = e.Kind != distribution.PurgeGroup
+	}
+	if e.Kind == distribution.Revision || e.Kind == distribution.List {
+		e.Number = rapid.Uint64Range(1, 1<<40).Draw(t, "number")
+		e.Body = rapid.SliceOfN(rapid.Byte(), 1, 200).Draw(t, "body")
+	}
+	return e
+}
+
+func drawEntries(t *rapid.T, after uint64) []distribution.Entry {
+	var entries []distribution.Entry
+	for range rapid.IntRange(0, 5).Draw(t, "entries") {
+		after += rapid.Uint64Range(1, 300).Draw(t, "step")
+		entries = append(entries, drawEntry(t, after))
+	}
+	return entries
+}
+
+func drawMessage(t *rapid.T) distribution.Message {
+	after := rapid.Uint64Range(0, 1<<33).Draw(t, "after")
+	mark := distribution.Watermark{Sequence: rapid.Uint64().Draw(t, "mark"), At: someDay}
+	epoch := rapid.Uint64().Draw(t, "epoch")
+	number := rapid.IntRange(0, 1<<30).Draw(t, "number")
+	entries := drawEntries(t, after)
+	through := after + 2000
+	return rapid.SampledFrom([]distribution.Message{
+		distribution.Subscribe{Stream: distribution.Purges, Name: "a name", Rank: 3, From: distribution.Position{Epoch: epoch, Sequence: after}, Credit: number, Taken: epoch},
+		distribution.Credit{Stream: distribution.Configuration, Bytes: number},
+		distribution.Leave{Stream: distribution.Purges},
+		distribution.Batch{Stream: distribution.Purges, Epoch: epoch, After: after, Through: through, Mark: mark, Entries: entries},
+		distribution.Chunk{Stream: distribution.Configuration, Epoch: epoch, Through: through, Mark: mark, Index: number / 2, Last: number%2 == 1, Entries: entries},
+		distribution.Heartbeat{Stream: distribution.Purges, Epoch: epoch, Mark: mark},
+		distribution.Refused{Stream: distribution.Purges, Reason: distribution.Full, RetryAfter: number},
+	}).Draw(t, "message")
+}
+
+func TestWhatIsEncodedIsDecoded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMessage(t)
+		back, err := distribution.Decode(distribution.Encode(m).Bytes)
+		require.NoError(t, err)
+		require.Equal(t, m, back)
+	})
+}
+
+func TestCutAndLongerFramesAreRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := distribution.Encode(drawMessage(t)).Bytes
+		_, err := distribution.Decode(b[:rapid.IntRange(0, len(b)-1).Draw(t, "cut")])
+		require.ErrorIs(t, err, distribution.ErrForm)
+		_, err = distribution.Decode(append(b[:len(b):len(b)], 0))
+		require.ErrorIs(t, err, distribution.ErrForm)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(distribution.Encode(distribution.Heartbeat{Stream: 1, Epoch: 2, Mark: distribution.Watermark{Sequence: 3, At: someDay}}).Bytes)
+	f.Add(distribution.Encode(distribution.Batch{Stream: 1, Epoch: 2, After: 3, Through: 9, Entries: []distribution.Entry{{Sequence: 5, Kind: distribution.PurgeObject, Name: "x"}}}).Bytes)
+	f.Add([]byte{4, 1, 1, 1, 1, 1, 1, 0xff, 0xff, 0x3f})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := distribution.Decode(b)
+		if err != nil {
+			return
+		}
+		again, err := distribution.Decode(distribution.Encode(m).Bytes)
+		require.NoError(t, err)
+		require.Equal(t, fmt.Sprintf("%#v", m), fmt.Sprintf("%#v", again))
+	})
+}
+
+func TestEncodedSizeIsABound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		with := distribution.Batch{Stream: 1, Epoch: 1, After: 1 << 32, Through: 1<<32 + 2000, Mark: distribution.Watermark{Sequence: 1 << 33, At: someDay}}
+		without := len(distribution.Encode(with).Bytes)
+		with.Entries = drawEntries(t, 1<<32)
+		bound := 0
+		for _, e := range with.Entries {
+			bound += distribution.EncodedSize(e)
+		}
+		require.LessOrEqual(t, len(distribution.Encode(with).Bytes)-without, bound)
+	})
+}
+
+// A purge may take 195 bytes if nothing else were sent: 17 KB/s for 87 purges a second.
+func TestPurgesTakeLittle(t *testing.T) {
+	var entries []distribution.Entry
+	for i := range 87 {
+		entries = append(entries, distribution.Entry{Sequence: 1_000_000 + uint64(i), Kind: distribution.PurgeObject, Group: int64(i), Grouped: true,
+			Name: fmt.Sprintf("/catalogue/pictures/by-size/1280x720/%032x.webp", i), Made: someDay - int64(i*11), Until: someDay + 3_600_000})
+	}
+	bytes := 0
+	for _, e := range entries { // each alone in a batch, the worst
+		b := distribution.Batch{Stream: distribution.Purges, Epoch: 12, After: e.Sequence - 1, Through: e.Sequence,
+			Mark: distribution.Watermark{Sequence: e.Sequence, At: someDay}, Entries: []distribution.Entry{e}}
+		size := len(distribution.Encode(b).Bytes)
+		require.Less(t, size, 195)
+		bytes += size
+	}
+	together := distribution.Batch{Stream: distribution.Purges, Epoch: 12, After: 999_999, Through: 1_000_086,
+		Mark: distribution.Watermark{Sequence: 1_000_086, At: someDay}, Entries: entries}
+	t.Logf("names of %d bytes: %d bytes a purge in batches of one, %d in one of 87", len(entries[0].Name), bytes/87, len(distribution.Encode(together).Bytes)/87)
+}
--- a/internal/decide/distribution/world_test.go
+++ b/internal/decide/distribution/world_test.go
@@ -25,12 +25,12 @@
 	{Name: "right", Rank: 1, Region: "r", Zone: "z"},
 }
 
-func settings(i int) distribution.Settings {
+func (w *world) settings(i int) distribution.Settings {
 	self := distribution.Peer{Name: names[i], Rank: min(2, i), Region: "r", Zone: "z"}
 	if i == atRight {
 		self.Rank = 1
 	}
-	s := distribution.Defaults(distribution.Purges, self)
+	s := distribution.Defaults(w.stream, self)
 	s.Seed = uint64(i)
 	s.HeartbeatEvery, s.SilentFor, s.ConnectFor = 500, 1000, 1000
 	s.FailoverOver, s.RetryFrom, s.RetryMost, s.EaseOver = 100, 100, 400, 400
@@ -78,6 +78,9 @@
 	mutation mutation
 	broken   error
 	without  int // a process that does not run
+	stream   distribution.Stream
+	script   []distribution.Entry
+	initial  int // how many of the script an epoch begins with
 }
 
 // script is what is committed after the start, in each epoch from its beginning. It covers: the same object, a group's
@@ -91,18 +94,25 @@
 	{Kind: distribution.PurgeObject, Name: "w", Made: 150},
 }
 
-// newWorld has all processes but one (0: all run),  the first entries of the script committed, and everybody connected and told.
-func newWorld(first int, without int, m mutation) *world {
-	w := &world{now: 10_000, history: &check.History{}, mutation: m, without: without}
+// newWorld has all processes but one (0: all run), the first entries of the script committed, and everybody connected and told.
+func newWorld(without int, m mutation) *world {
+	w := &world{mutation: m, without: without, stream: distribution.Purges, script: script, initial: 2}
+	w.begin()
+	return w
+}
+
+// begin starts all processes, and has all of them connected and told.
+func (w *world) begin() {
+	w.now, w.history = 10_000, &check.History{}
 	for i := range processes {
-		if without == atRoot || i != without {
+		if w.without == atRoot || i != w.without {
 			w.boot(i)
 		}
 	}
-	w.restore(first)
+	w.restore()
 	for range 400 {
 		if w.told >= 1000 && w.quiet() && w.settled() {
-			return w
+			return
 		}
 		w.settle()
 		w.pass()
@@ -117,10 +127,10 @@
 	w.subWake[i], w.distWake[i] = math.Inf(1), math.Inf(1)
 	w.stopped[i] = false
 	if i != atLeaf {
-		w.dists[i] = distribution.NewDistributor(settings(i))
+		w.dists[i] = distribution.NewDistributor(w.settings(i))
 	}
 	if i != atRoot {
-		w.subs[i] = distribution.NewSubscriber(settings(i))
+		w.subs[i] = distribution.NewSubscriber(w.settings(i))
 		w.above(i, distribution.Candidates{Peers: w.peers()})
 	}
 }
@@ -130,24 +140,21 @@
 	return slices.DeleteFunc(slices.Clone(peers), func(p distribution.Peer) bool { return w.without != atRoot && p.Name == names[w.without] })
 }
 
-// restore begins an epoch of the store with the first entries of the script.
-func (w *world) restore(entries int) {
+// restore begins an epoch of the store with the first entries of the script. They cover nothing.
+func (w *world) restore() {
 	w.epoch++
 	w.sequence, w.next = 1, 0
+	w.history.Begin(distribution.Position{Epoch: w.epoch, Sequence: w.sequence})
 	var all []distribution.Entry
-	for range entries {
+	for range w.initial {
 		all = append(all, w.book())
 	}
-	held := all
-	if len(held) > 1 { // the script's first two cover nothing
-		held = held[:2]
-	}
-	w.below(atRoot, distribution.Replace{Epoch: w.epoch, Through: w.sequence, Mark: w.top(), Entries: held})
+	w.below(atRoot, distribution.Replace{Epoch: w.epoch, Through: w.sequence, Mark: w.top(), Entries: all})
 }
 
 // book has the store commit the next of the script. Sequences leave some out.
 func (w *world) book() distribution.Entry {
-	e := script[w.next]
+	e := w.script[w.next]
 	w.next++
 	w.sequence += 1 + uint64(w.next%2)
 	e.Sequence = w.sequence
@@ -309,7 +316,7 @@
 			w.distWake[i] = w.now + a.After
 		}
 	}
-	w.check(check.Kept(settings(i), d))
+	w.check(check.Kept(w.settings(i), d))
 }
 
 func (w *world) wireTo(to int, link distribution.Link) int {
@@ -329,7 +336,7 @@
 	if counts(m) {
 		l.bytes += len(f.Bytes)
 		l.frames++
-		w.check(check.UnderWay(settings(l.from).Credit+l.extra, l.frames, l.bytes))
+		w.check(check.UnderWay(w.settings(l.from).Credit+l.extra, l.frames, l.bytes))
 	}
 	l.down = append(l.down, w.mutation.sent(w, m))
 }
@@ -350,9 +357,9 @@
 	}
 	mark := w.subs[i].Watermark()
 	for _, made := range []float64{w.now - 5000, float64(mark.At) - 1, float64(mark.At), w.now} {
-		g := distribution.NewGate(settings(i))
+		g := distribution.NewGate(w.settings(i))
 		g.Set(w.gates[i])
-		w.check(check.Served(settings(i), mark, w.now, "strict", made, g.Judge(w.now, "strict", made)))
+		w.check(check.Served(w.settings(i), mark, w.now, "strict", made, g.Judge(w.now, "strict", made)))
 	}
 }
 
@@ -382,14 +389,14 @@
 	if m == nil {
 		to, link := l.to, l.toLink
 		l.up, l.down = nil, nil
+		if l.open { // it ended at both sides
+			l.down = append(l.down, nil)
+		}
 		if w.dists[to] != nil {
 			w.below(to, distribution.Lost{Link: link})
 		}
 		return
 	}
-	if _, again := m.(distribution.Subscribe); again {
-		l.bytes, l.frames, l.extra = 0, 0, 0 // the credit begins anew; what is under way still is the subscriber's own wish
-	}
 	w.below(l.to, distribution.Received{Link: l.toLink, Message: m})
 }
 
@@ -462,6 +469,12 @@
 	return true
 }
 
+// resume wakes a process; a request may be there before anything else.
+func (w *world) resume(i int) {
+	w.stopped[i] = false
+	w.serve(i)
+}
+
 // settle delivers all that is under way.
 func (w *world) settle() {
 	for range 10_000 {
@@ -486,7 +499,11 @@
 
 // heal ends all faults, and tells whether everybody gets everything in the end.
 func (w *world) heal() error {
-	w.stopped = [processes]bool{}
+	for i := range processes {
+		if w.stopped[i] {
+			w.resume(i)
+		}
+	}
 	for range 200 {
 		w.settle()
 		if w.broken != nil {
