--- a/internal/decide/distribution/distributor.go
+++ b/internal/decide/distribution/distributor.go
@@ -128,12 +128,13 @@
 		return
 	}
 	d.mark = joined(d.mark, e.Mark)
-	d.extend(e.Through, e.Entries)
+	d.extend(e.Through, e.Entries, d.set.MostFrame)
 	d.pump(d.members)
 }
 
-// extend moves the head, with entries of which those up to the present head are known.
-func (d *Distributor) extend(through uint64, entries []Entry) {
+// extend moves the head, with entries of which those up to the present head are known, in segments of at most so many
+// bytes.
+func (d *Distributor) extend(through uint64, entries []Entry, most int) {
 	var fresh []Entry
 	covered := map[uint64]bool{}
 	cover := func(sequences []uint64) {
@@ -152,7 +153,7 @@
 	}
 	cover(d.table.expire(d.mark.At))
 	fresh = slices.DeleteFunc(fresh, func(e Entry) bool { return covered[e.Sequence] })
-	d.backlog.append(d.head, through, fresh, d.set.MostFrame)
+	d.backlog.append(d.head, through, fresh, most)
 	d.head = through
 	d.backlog.trim(d.set.BacklogEntries, d.set.BacklogBytes)
 	if d.shared != nil && d.shared.through < d.backlog.floor {
@@ -160,17 +161,13 @@
 	}
 }
 
-// replace takes the whole. Purges that came by a snapshot of the present epoch go on to the subscribers as a batch, so
-// that those of a distributor that fell back do not all fall back with it. What a snapshot ends by not naming it, a list
-// or a drain, a batch can't say.
+// replace takes the whole. Numbers in a snapshot say nothing but the order (a member of the store that reads its state back
+// has made them up), so that what is new is found by what it says.
 func (d *Distributor) replace(e Replace) {
 	if e.Epoch < d.epoch || e.Epoch == d.epoch && e.Through < d.head {
 		return
 	}
-	if e.Epoch == d.epoch && d.set.Stream == Purges {
-		d.mark = joined(d.mark, e.Mark)
-		d.extend(e.Through, e.Entries)
-		d.pump(d.members)
+	if e.Epoch == d.epoch && d.set.Stream == Purges && d.bridge(e) {
 		return
 	}
 	d.epoch, d.head, d.mark = e.Epoch, e.Through, e.Mark
@@ -187,13 +184,35 @@
 	d.pump(d.members)
 }
 
+// bridge passes on what a snapshot of the present epoch brings as one batch, so that the subscribers of a distributor that
+// fell back do not all fall back with it. One frame or none: a part of it would be a place that nobody else knows. What a
+// snapshot ends by not naming it, a list or a drain, a batch can't say: purges only.
+func (d *Distributor) bridge(e Replace) bool {
+	var fresh []Entry
+	for _, x := range e.Entries {
+		if !d.table.covers(x) {
+			fresh = append(fresh, x)
+		}
+	}
+	if uint64(len(fresh)) > e.Through-d.head || 2*sizeOf(fresh) > d.set.Credit {
+		return false
+	}
+	for i := range fresh { // numbers that nothing here has
+		fresh[i].Sequence = e.Through - uint64(len(fresh)-1-i)
+	}
+	d.mark = joined(d.mark, e.Mark)
+	d.extend(e.Through, fresh, d.set.Credit)
+	d.pump(d.members)
+	return true
+}
+
 func (d *Distributor) advance(e Advance) {
 	if d.epoch == 0 || e.Epoch != d.epoch {
 		return
 	}
 	d.mark = joined(d.mark, e.Mark)
 	if e.Mark.Sequence > d.head { // at the root: the store's log went on, with nothing for this stream
-		d.extend(e.Mark.Sequence, nil)
+		d.extend(e.Mark.Sequence, nil, d.set.MostFrame)
 		d.pump(d.members)
 		return
 	}
--- a/internal/decide/distribution/table.go
+++ b/internal/decide/distribution/table.go
@@ -101,6 +101,18 @@
 	return covered
 }
 
+// covers tells whether a purge says nothing that is not held.
+func (t *table) covers(e Entry) bool {
+	if held, known := t.held[keyOf(e)]; known && held.Made >= e.Made && outlasts(held.Until, e.Until) {
+		return true
+	}
+	if e.Kind != PurgeObject || !e.Grouped {
+		return false
+	}
+	held, known := t.held[key{kind: PurgeGroup, group: e.Group}]
+	return known && held.Made >= e.Made && outlasts(held.Until, e.Until)
+}
+
 func (t *table) remove(k key) {
 	e := t.held[k]
 	t.bytes -= EncodedSize(e)
--- a/internal/decide/distribution/world_test.go
+++ b/internal/decide/distribution/world_test.go
@@ -1,6 +1,7 @@
 package distribution_test
 
 import (
+	"fmt"
 	"math"
 	"slices"
 
@@ -152,6 +153,47 @@
 	w.below(atRoot, distribution.Replace{Epoch: w.epoch, Through: w.sequence, Mark: w.top(), Entries: all})
 }
 
+// reread has the root read its state back: facts joined by what they are about, with numbers made up, in an order of its own.
+func (w *world) reread() {
+	held := map[string]distribution.Entry{}
+	var order []string
+	for _, e := range w.script[:w.next] {
+		name := fmt.Sprint(e.Kind, e.Name, e.Group)
+		if e.Kind == distribution.DrainEnded {
+			delete(held, fmt.Sprint(distribution.Drain, e.Name, e.Group))
+			continue
+		}
+		e.Made += int64(w.epoch) * 1000
+		if old, again := held[name]; again && w.stream == distribution.Purges {
+			e.Made = max(e.Made, old.Made)
+			if old.Until == 0 || e.Until != 0 && e.Until < old.Until {
+				e.Until = old.Until
+			}
+		} else if again && e.Kind == distribution.Drain {
+			e.Made = min(e.Made, old.Made)
+		}
+		held[name] = e
+		order = append(order, name)
+	}
+	var entries []distribution.Entry
+	for _, name := range slices.Backward(order) {
+		if e, still := held[name]; still {
+			entries = append(entries, e)
+			delete(held, name)
+		}
+	}
+	for i := range entries {
+		entries[i].Sequence = w.sequence - uint64(len(entries)-1-i)
+	}
+	w.below(atRoot, distribution.Replace{Epoch: w.epoch, Through: w.sequence, Mark: w.top(), Entries: entries})
+}
+
+// restart has the root come back with what it reads.
+func (w *world) restart() {
+	w.crash(atRoot)
+	w.reread()
+}
+
 // book has the store commit the next of the script. Sequences leave some out.
 func (w *world) book() distribution.Entry {
 	e := w.script[w.next]
