--- a/internal/decide/distribution/distributor.go
+++ b/internal/decide/distribution/distributor.go
@@ -128,13 +128,12 @@
 		return
 	}
 	d.mark = joined(d.mark, e.Mark)
-	d.extend(e.Through, e.Entries, d.set.MostFrame)
+	d.extend(e.Through, e.Entries, e.Whole)
 	d.pump(d.members)
 }
 
-// extend moves the head, with entries of which those up to the present head are known, in segments of at most so many
-// bytes.
-func (d *Distributor) extend(through uint64, entries []Entry, most int) {
+// extend moves the head, with entries of which those up to the present head are known.
+func (d *Distributor) extend(through uint64, entries []Entry, whole bool) {
 	var fresh []Entry
 	covered := map[uint64]bool{}
 	cover := func(sequences []uint64) {
@@ -153,7 +152,11 @@
 	}
 	cover(d.table.expire(d.mark.At))
 	fresh = slices.DeleteFunc(fresh, func(e Entry) bool { return covered[e.Sequence] })
-	d.backlog.append(d.head, through, fresh, most)
+	if whole {
+		d.backlog.appendWhole(d.head, through, fresh)
+	} else {
+		d.backlog.append(d.head, through, fresh, d.set.MostFrame)
+	}
 	d.head = through
 	d.backlog.trim(d.set.BacklogEntries, d.set.BacklogBytes)
 	if d.shared != nil && d.shared.through < d.backlog.floor {
@@ -201,8 +204,10 @@
 		fresh[i].Sequence = e.Through - uint64(len(fresh)-1-i)
 	}
 	d.mark = joined(d.mark, e.Mark)
-	d.extend(e.Through, fresh, d.set.Credit)
-	d.pump(d.members)
+	if e.Through > d.head {
+		d.extend(e.Through, fresh, len(fresh) > 0)
+		d.pump(d.members)
+	}
 	return true
 }
 
@@ -212,7 +217,7 @@
 	}
 	d.mark = joined(d.mark, e.Mark)
 	if e.Mark.Sequence > d.head { // at the root: the store's log went on, with nothing for this stream
-		d.extend(e.Mark.Sequence, nil, d.set.MostFrame)
+		d.extend(e.Mark.Sequence, nil, false)
 		d.pump(d.members)
 		return
 	}
@@ -411,8 +416,13 @@
 func (d *Distributor) pumpTail(m *member, send func(*member, place, *Frame) bool) {
 	for i := d.backlog.find(m.cursor); i < len(d.backlog.segments); i++ {
 		s := d.backlog.segments[i]
+		if s.whole && m.cursor > s.after { // it came from elsewhere, and is at a place within
+			m.behind = true
+			d.pumpSnapshot(m, send)
+			return
+		}
 		if s.frame == nil {
-			s.frame = Encode(Batch{Stream: d.set.Stream, Epoch: d.epoch, After: s.after, Through: s.through,
+			s.frame = Encode(Batch{Stream: d.set.Stream, Epoch: d.epoch, Whole: s.whole, After: s.after, Through: s.through,
 				Mark: d.mayClaim(), Entries: s.entries})
 		}
 		if !send(m, place{tail: true, index: i}, s.frame) {
--- a/internal/decide/distribution/event.go
+++ b/internal/decide/distribution/event.go
@@ -52,9 +52,10 @@
 // (see Relay), and at the root the shell makes them from what the store commits.
 type (
 	// Apply adds entries, in order, each once. Through is the sequence up to which all is there, but for what something
-	// up to Mark.Sequence covers.
+	// up to Mark.Sequence covers. Whole is for the levels below: see Batch.
 	Apply struct {
 		Epoch          uint64
+		Whole          bool
 		After, Through uint64
 		Mark           Watermark
 		Entries        []Entry
--- a/internal/decide/distribution/message.go
+++ b/internal/decide/distribution/message.go
@@ -87,10 +87,12 @@
 	// Leave ends a subscription.
 	Leave struct{ Stream Stream }
 
-	// Batch is all of the stream in (After, Through] that was not covered by something later up to Mark.Sequence.
+	// Batch is all of the stream in (After, Through] that was not covered by something later up to Mark.Sequence. Whole: it
+	// was made from a snapshot, its sequences are made up, and who is at a place within it can't take a part.
 	Batch struct {
 		Stream         Stream
 		Epoch          uint64
+		Whole          bool
 		After, Through uint64
 		Mark           Watermark
 		Entries        []Entry // sequences rise
--- a/internal/decide/distribution/subscriber.go
+++ b/internal/decide/distribution/subscriber.go
@@ -227,6 +227,9 @@
 	case !s.have || m.Epoch != s.epoch, m.After > s.applied:
 		s.resume()
 		return
+	case m.Whole && m.After < s.applied && s.applied < m.Through: // no distributor may send that
+		s.leave(CauseBroken, s.set.RetryMost, true)
+		return
 	case m.Through <= s.applied: // a duplicate; what it says of completeness holds
 		if s.join(m.Mark) {
 			s.do(Advance{Epoch: s.epoch, Mark: s.mark})
@@ -240,7 +243,7 @@
 	after := s.applied
 	s.applied, s.moved, s.again = m.Through, s.now, 0
 	s.join(m.Mark)
-	s.do(Apply{Epoch: s.epoch, After: after, Through: s.applied, Mark: s.pending, Entries: entries})
+	s.do(Apply{Epoch: s.epoch, Whole: m.Whole, After: after, Through: s.applied, Mark: s.pending, Entries: entries})
 }
 
 // validRange tells whether a batch is what a distributor may say.
--- a/internal/decide/distribution/wire.go
+++ b/internal/decide/distribution/wire.go
@@ -15,6 +15,7 @@
 	wireChunk
 	wireHeartbeat
 	wireRefused
+	wireWhole // a batch
 )
 
 // The first byte of an entry: its kind, and what follows.
@@ -46,7 +47,11 @@
 		b = append(b, wireLeave, byte(m.Stream))
 	case Batch:
 		b = make([]byte, 0, frameOverhead+sizeOf(m.Entries))
-		b = appendNumbers(append(b, wireBatch, byte(m.Stream)), m.Epoch, m.After, m.Through-m.After)
+		kind := byte(wireBatch)
+		if m.Whole {
+			kind = wireWhole
+		}
+		b = appendNumbers(append(b, kind, byte(m.Stream)), m.Epoch, m.After, m.Through-m.After)
 		b = appendMark(b, m.Mark)
 		b = appendEntries(b, m.After, m.Mark.At, m.Entries)
 	case Chunk:
@@ -293,8 +298,8 @@
 		m = Credit{Stream: stream, Bytes: r.small()}
 	case wireLeave:
 		m = Leave{Stream: stream}
-	case wireBatch:
-		x := Batch{Stream: stream, Epoch: r.number(), After: r.number()}
+	case wireBatch, wireWhole:
+		x := Batch{Stream: stream, Whole: kind == wireWhole, Epoch: r.number(), After: r.number()}
 		x.Through = x.After + r.number()
 		x.Mark = r.mark()
 		x.Entries = r.entries(x.After, x.Mark.At)
