--- /dev/null
+++ b/internal/front/resp/guard.go
@@ -0,0 +1,218 @@
+package resp
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+
+	"ravenwheel/internal/decide/drain"
+	"ravenwheel/internal/resp"
+)
+
+// guarded accepts connections whose reads are checked, and no more of them than the front may hold.
+type guarded struct {
+	net.Listener
+	front *Front
+}
+
+func (g guarded) Accept() (net.Conn, error) {
+	for {
+		if halt := g.front.halt(); halt != nil {
+			<-halt
+		}
+		g.front.awaitCloses()
+		nc, err := g.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
+		if err != nil && !errors.Is(err, net.ErrClosed) {
+			// Guards against redcon, which asks again at once: out of descriptors it would take the whole core, and what is
+			// open could not end and give some back.
+			over := make(chan struct{})
+			g.front.clock.After(acceptPause, func() { close(over) })
+			<-over
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if held, ok := g.front.admit(nc); ok {
+			return held, nil
+		}
+		g.front.core.Unanswered()
+		nc.Close()
+	}
+}
+
+// guard hands on whole frames only. It guards redcon's reader, which panics on a bulk length near the
+// largest integer, spins on a large count and grows without bound: such bytes end the connection.
+type guard struct {
+	net.Conn
+	front *Front
+	buf   resp.Buffer
+	rest  []byte
+
+	// Under the front's lock.
+	client *client // nil: it has not asked yet
+	stage  stage
+	read   bool    // reading has ended
+	asked  bool    // a whole frame has come
+	half   bool    // the next one has begun
+	since  float64 // when it was accepted, when its last frame was whole, or when the next one began
+}
+
+// stage is where a client's connection stands. It goes one way.
+type stage int
+
+const (
+	serving stage = iota
+	leaving       // our side is shut, or about to be: what comes is read to the end and dropped
+	closed
+)
+
+// Close is redcon's, which has the connection until its first frame is whole. Once it serves at all it closes what it holds
+// as it ends, and a connection whose first frame has just come may be among that: its request is lived and answered.
+func (g *guard) Close() error {
+	defer g.front.closeCut()
+	g.front.mu.Lock()
+	defer g.front.mu.Unlock()
+	switch {
+	case g.asked:
+	case g.read:
+		go g.shut()
+	case g.leave():
+		g.front.dismiss(g)
+	}
+	return nil
+}
+
+// shut ends the connection at once.
+func (g *guard) shut() {
+	defer g.front.closeCut()
+	g.front.mu.Lock()
+	defer g.front.mu.Unlock()
+	if g.forget() {
+		g.front.cut = append(g.front.cut, g)
+	}
+}
+
+// forget takes the connection out of the front's books: its place is free. It tells whether it was there. Called under the
+// front's lock.
+func (g *guard) forget() bool {
+	if g.stage == closed {
+		return false
+	}
+	g.stage = closed
+	g.front.closing++
+	delete(g.front.conns, g)
+	g.front.leaving = slices.DeleteFunc(g.front.leaving, func(o *guard) bool { return o == g })
+	return true
+}
+
+// Read hands on one whole frame after another, until the connection is to end: then it reads to the client's own end.
+func (g *guard) Read(p []byte) (n int, err error) {
+	if len(g.rest) == 0 {
+		if _, g.rest, err = g.buf.Next(halves{g}); err == nil && !g.mark(false) {
+			err = net.ErrClosed
+		}
+	}
+	if err != nil {
+		g.finish()
+		return 0, err
+	}
+	n = copy(p, g.rest)
+	g.rest = g.rest[n:]
+	return n, nil
+}
+
+// finish is the end of reading: of a connection that is left, nothing may stay unread.
+func (g *guard) finish() {
+	g.front.mu.Lock()
+	dropping := g.stage == leaving
+	g.front.mu.Unlock()
+	if dropping {
+		_, _ = io.Copy(io.Discard, onlyRead{g.Conn})
+	}
+	g.front.mu.Lock()
+	g.read = true
+	g.front.mu.Unlock()
+}
+
+// onlyRead hides what else a connection can do: to be read from by splice is refused on the larger fleet's platform.
+type onlyRead struct{ io.Reader }
+
+// halves reads for the guard's buffer, and notes that half a frame has come whenever more is waited for.
+type halves struct{ g *guard }
+
+func (h halves) Read(p []byte) (int, error) {
+	if h.g.buf.Held() > 0 {
+		h.g.mark(true)
+	}
+	return h.g.Conn.Read(p)
+}
+
+// mark notes that half a frame has come, or a whole one, which may no longer be lived once the connection
+// is to end.
+func (g *guard) mark(half bool) bool {
+	g.front.mu.Lock()
+	defer g.front.mu.Unlock()
+	if !half || g.asked && !g.half { // the first frame has its time from the accept on, however it trickles
+		g.since = g.front.clock.Now()
+	}
+	if g.stage != serving {
+		return false // what comes now was not asked of a proxy that would answer it
+	}
+	g.half, g.asked = half, g.asked || !half
+	return true
+}
+
+// leave decides that a connection ends, unless its client is owed an answer. Guards against a request that
+// comes between the decision and the close: an attempt would be sent for it, and its answer lost.
+func (g *guard) leave() bool {
+	if g.stage != serving || g.client == nil && g.asked { // its first frame is on the way to a client yet to be made
+		return false
+	}
+	if g.client != nil {
+		g.client.mu.Lock()
+		defer g.client.mu.Unlock()
+		if len(g.client.open) > 0 || len(g.client.out) > 0 {
+			return false
+		}
+		g.client.closed = true
+	}
+	g.stage = leaving
+	return true
+}
+
+// facts are what the plan wants to know. Called under the front's lock.
+func (g *guard) facts(now float64) drain.Conn {
+	c := drain.Conn{Half: g.half, New: !g.asked && now-g.since < newFor, Unread: g.unread()}
+	if g.client != nil {
+		g.client.mu.Lock()
+		c.Open = len(g.client.open) + len(g.client.out)
+		g.client.mu.Unlock()
+	}
+	return c
+}
+
+// unread tells whether bytes have come that nobody has read.
+func (g *guard) unread() (some bool) {
+	sc, ok := g.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
