Distribution: the shell, from the store's members through levels to every process

internal/distribution runs the machines of decide/distribution over the store's links: one goroutine a stream owns its machines and links, one a link reads and one writes, all of them ended by Close. A member of the store begins a tree: it tells its distributors what it applies, and up to where nothing is missing each time a quorum has confirmed it. Who is further down is told by internal/facts' own kind of change. Names are those of certificates; what waits on a link is bounded.

Nothing is wired to the program yet.

--- /dev/null
+++ b/internal/distribution/distribution_test.go
@@ -0,0 +1,297 @@
+package distribution_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	pure "ravenwheel/internal/decide/distribution"
+	"ravenwheel/internal/decide/distribution/check"
+	"ravenwheel/internal/decide/replica"
+	"ravenwheel/internal/distribution"
+	"ravenwheel/internal/store"
+)
+
+// A subscriber gets what was committed before it came and after, each fact once and in order.
+func TestStream(t *testing.T) {
+	tr := newTree(t)
+	a := tr.log.member()
+	tr.log.purge("before")
+	tr.start(peer("a", 0), a, true)
+	tr.log.commit(replica.Change{Kind: replica.SetDrain, Name: "s-1"})
+	p := tr.start(peer("p", 9), nil, false, "a")
+	tr.caughtUp("p")
+	tr.log.purge("after")
+	tr.log.commit(replica.Change{Kind: replica.EndDrain, Name: "s-1"})
+	a.apply()
+	tr.caughtUp("p")
+	eventually(t, "the drain's end", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.facts[len(p.facts)-1].Kind == replica.EndDrain || len(p.facts) > 1 && p.facts[len(p.facts)-2].Kind == replica.EndDrain
+	})
+	var purges, drains []string
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.facts {
+		switch c.Kind {
+		case replica.SetPurge:
+			purges = append(purges, c.Purge.Object)
+		default:
+			drains = append(drains, fmt.Sprint(c.Kind, c.Name))
+		}
+	}
+	require.Equal(t, []string{"before", "after"}, purges)
+	require.Equal(t, []string{fmt.Sprint(replica.SetDrain, "s-1"), fmt.Sprint(replica.EndDrain, "s-1")}, drains)
+}
+
+// levels starts two roots, two distributors and four proxies.
+func levels(t *testing.T) (*tree, *member, *member) {
+	tr := newTree(t)
+	a, b := tr.log.member(), tr.log.member()
+	tr.start(peer("a", 0), a, true)
+	tr.start(peer("b", 0), b, true)
+	tr.start(peer("d1", 1), nil, true, "a", "b")
+	tr.start(peer("d2", 1), nil, true, "a", "b")
+	for i := range 4 {
+		tr.start(peer(fmt.Sprint("p", i), 9), nil, false, "d1", "d2")
+	}
+	tr.log.purge("first")
+	a.apply()
+	b.apply()
+	tr.caughtUp("d1", "d2", "p0", "p1", "p2", "p3")
+	return tr, a, b
+}
+
+// A distributor that ends in mid-burst, at once with all its links, loses nobody anything; woken, it serves again.
+func TestDistributorKilled(t *testing.T) {
+	tr, a, b := levels(t)
+	for i := range 200 {
+		tr.log.purge(fmt.Sprint("burst-", i))
+		a.apply()
+		b.apply()
+		if i == 100 {
+			tr.nodes["d1"].node.Close()
+		}
+	}
+	tr.caughtUp("d2", "p0", "p1", "p2", "p3")
+	for i := range 4 {
+		require.Equal(t, "d2", tr.nodes[fmt.Sprint("p", i)].at())
+	}
+	tr.start(peer("d1", 1), nil, true, "a", "b")
+	tr.nodes["d2"].node.Stop(60_000)
+	tr.nodes["d2"].node.Close()
+	tr.log.purge("later")
+	a.apply()
+	b.apply()
+	tr.caughtUp("d1", "p0", "p1", "p2", "p3")
+}
+
+// What the leader has committed when it dies, and told nobody, comes by another member.
+func TestLeaderKilledBeforeFanOut(t *testing.T) {
+	tr, a, b := levels(t)
+	tr.nodes["a"].node.Close() // it has the purge, in its log, and not a word of it has left
+	tr.log.purge("committed")
+	a.apply()
+	b.apply()
+	tr.caughtUp("d1", "d2", "p0", "p1", "p2", "p3")
+}
+
+// A region that is cut off holds its strict classes past the bound, and has all soon after it is healed.
+func TestRegionCutOff(t *testing.T) {
+	tr, a, b := levels(t)
+	for _, d := range []string{"d1", "d2"} {
+		tr.cut(d, "a", true)
+		tr.cut(d, "b", true)
+	}
+	p := tr.nodes["p0"]
+	mark := pure.Watermark{}
+	old := tr.log.clk.Now() - 60_000 // when the copy was made
+	eventually(t, "strict classes held", func() bool {
+		now := tr.log.clk.Now()
+		mark.At = p.node.Status()[0].MarkMs
+		mark.Sequence = 1
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		v := p.gate.Judge(now, "strict", old)
+		if settled := p.node.Status()[0].MarkMs == mark.At; settled {
+			require.NoError(t, check.Served(settings(p.peer), mark, now, "strict", old, v))
+		}
+		require.NotContains(t, []pure.Verdict{pure.Origin, pure.Refuse}, p.gate.Judge(now, "other", old))
+		return v == pure.Origin || v == pure.Refuse
+	})
+	tr.log.purge("meanwhile")
+	a.apply()
+	b.apply()
+	for _, d := range []string{"d1", "d2"} {
+		tr.cut(d, "a", false)
+		tr.cut(d, "b", false)
+	}
+	tr.caughtUp("d1", "d2", "p0", "p1", "p2", "p3")
+	eventually(t, "strict classes let go of", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.gate.Judge(tr.log.clk.Now(), "strict", old) == pure.Serve
+	})
+}
+
+// A store without a quorum confirms nothing: its subscribers are held, though their links stand.
+func TestNoQuorum(t *testing.T) {
+	tr, a, b := levels(t)
+	a.cut(true)
+	b.cut(true)
+	p := tr.nodes["p0"]
+	held := func() bool { return p.node.Status()[0].Held }
+	eventually(t, "held", held)
+	a.cut(false)
+	b.cut(false)
+	eventually(t, "let go of", func() bool { return !held() })
+}
+
+// All subscribers of a distributor that are lost at once, and processes that start anew in a wave, get all that holds.
+func TestRestartWave(t *testing.T) {
+	tr, a, b := levels(t)
+	for i := range 4 {
+		tr.nodes[fmt.Sprint("p", i)].node.Close()
+	}
+	for i := range 300 {
+		tr.log.purge(fmt.Sprint("while-away-", i))
+	}
+	a.apply()
+	b.apply()
+	for i := range 4 {
+		tr.start(peer(fmt.Sprint("p", i), 9), nil, false, "d1", "d2")
+	}
+	tr.log.purge("while they start")
+	a.apply()
+	b.apply()
+	tr.caughtUp("d1", "d2", "p0", "p1", "p2", "p3")
+}
+
+// A distributor that still serves an old epoch is not heard by who has seen the new one; the sequence begins anew with it.
+func TestNewEpoch(t *testing.T) {
+	tr, a, b := levels(t)
+	a.cut(true)
+	b.cut(true)
+	tr.nodes["b"].node.Close()
+	old := tr.nodes["a"] // goes on
+	tr.log.mu.Lock()
+	tr.log.epoch, tr.log.changes = 2, nil
+	tr.log.mu.Unlock()
+	c := tr.log.member()
+	tr.start(peer("b", 0), c, true)
+	tr.log.purge("anew")
+	c.apply()
+	tr.caughtUp("d1", "d2", "p0", "p1", "p2", "p3")
+	// It is all there is, for a while: they would rather be held than go back.
+	tr.nodes["b"].node.Close()
+	eventually(t, "held", func() bool { return tr.nodes["p0"].node.Status()[0].Held })
+	require.Equal(t, uint64(2), tr.nodes["p0"].node.Status()[0].Epoch)
+	require.Equal(t, uint64(1), old.node.Status()[0].Epoch)
+	tr.caughtUp("d1", "d2", "p0", "p1", "p2", "p3")
+}
+
+// A subscriber that reads 1 KB a second keeps nobody else waiting, and no more than its credit is under way to it.
+func TestSlowSubscriber(t *testing.T) {
+	tr, a, b := levels(t)
+	tr.slow["slow"] = 1 << 10
+	p := tr.start(peer("slow", 9), nil, false, "d1")
+	eventually(t, "subscribed", func() bool { return p.at() == "d1" })
+	for i := range 4000 {
+		tr.log.purge(fmt.Sprintf("an object with a name that takes some room %d", i))
+		if i%100 == 0 {
+			a.apply()
+			b.apply()
+		}
+	}
+	a.apply()
+	b.apply()
+	tr.caughtUp("d1", "d2", "p0", "p1", "p2", "p3")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.NoError(t, p.broken)
+}
+
+// Who takes a snapshot while purges go on misses none of them.
+func TestSnapshotWhilePurging(t *testing.T) {
+	tr, a, b := levels(t)
+	for i := range 3000 {
+		tr.log.purge(fmt.Sprint("held-", i))
+	}
+	a.apply()
+	b.apply()
+	for i := range 500 {
+		if i == 5 {
+			tr.start(peer("late", 9), nil, false, "d1", "d2")
+		}
+		tr.log.purge(fmt.Sprint("meanwhile-", i))
+		a.apply()
+		b.apply()
+	}
+	tr.caughtUp("late", "p0", "p1", "p2", "p3")
+}
+
+// A distributor that stands still in mid-burst, its links open, is left for another; woken, it goes on from where it was,
+// and serves again.
+func TestDistributorStopped(t *testing.T) {
+	tr, a, b := levels(t)
+	for i := range 200 {
+		tr.log.purge(fmt.Sprint("burst-", i))
+		a.apply()
+		b.apply()
+		if i == 100 {
+			tr.stop("d1", true)
+		}
+	}
+	tr.caughtUp("d2", "p0", "p1", "p2", "p3")
+	tr.stop("d1", false)
+	tr.caughtUp("d1")
+	tr.nodes["d2"].node.Close()
+	tr.log.purge("later")
+	a.apply()
+	b.apply()
+	tr.caughtUp("d1", "p0", "p1", "p2", "p3")
+}
+
+// Who has a certificate of the cluster and asks in another's name is not heard, nor who begins with anything else.
+func TestNames(t *testing.T) {
+	tr := newTree(t)
+	tr.start(peer("a", 0), tr.log.member(), true)
+	p := tr.start(peer("p", 9), nil, false, "a")
+	tr.caughtUp("p")
+	eventually(t, "subscribed", func() bool { return p.at() == "a" })
+	id, err := store.LoadIdentity(tr.keys, "p")
+	require.NoError(t, err)
+	for _, m := range []pure.Message{
+		pure.Subscribe{Stream: pure.Purges, Name: "q", Rank: 9, Credit: 1 << 20}, pure.Credit{Stream: pure.Purges},
+		pure.Subscribe{Stream: 7, Name: "p", Rank: 9, Credit: 1 << 20},
+	} {
+		l, err := store.DialLink(id, tr.addrs["a"], patience, nil)
+		require.NoError(t, err)
+		require.NoError(t, l.Send(pure.Encode(m).Bytes, patience))
+		_, err = l.Receive(1<<20, patience)
+		require.ErrorIs(t, err, io.EOF)
+		l.Close()
+	}
+	_, err = distribution.Start(distribution.Options{Settings: settings(peer("q", 9)), Identity: id})
+	require.Error(t, err, "another's identity")
+}
+
+// What a new subscriber's credit does not cover waits in the distributor's log, and not on the link.
+func TestUnderWay(t *testing.T) {
+	tr, a, b := levels(t)
+	tr.stop("p0", true)
+	for i := range 4000 {
+		tr.log.purge(fmt.Sprintf("an object with a name that takes some room %d", i))
+		a.apply()
+		b.apply()
+	}
+	tr.caughtUp("d1", "d2", "p1", "p2", "p3")
+	for _, d := range []string{"d1", "d2"} {
+		require.LessOrEqual(t, tr.nodes[d].node.Status()[0].Waiting, settings(peer("p0", 9)).Credit+4096)
+	}
+	tr.stop("p0", false)
+	tr.caughtUp("p0")
+}
--- /dev/null
+++ b/internal/distribution/entry.go
@@ -0,0 +1,191 @@
+package distribution
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"ravenwheel/internal/decide/distribution"
+	"ravenwheel/internal/decide/replica"
+)
+
+// entryOf is a change of the store as an entry of a stream; 0: it is of none.
+func entryOf(index uint64, c replica.Change, r replica.Revision) (distribution.Stream, distribution.Entry, error) {
+	e := distribution.Entry{Sequence: index, Name: c.Name}
+	switch c.Kind {
+	case replica.SetPurge:
+		return distribution.Purges, purgeEntry(index, *c.Purge, c.Until), nil
+	case replica.SetDrain:
+		e.Kind, e.Made = distribution.Drain, ceil(c.At)
+	case replica.EndDrain:
+		e.Kind = distribution.DrainEnded
+	case replica.SetList:
+		return listEntry(e, *c.List)
+	case replica.SetConfig:
+		return revisionEntry(e, r)
+	default:
+		return 0, e, nil
+	}
+	return distribution.Configuration, e, nil
+}
+
+func purgeEntry(index uint64, p replica.Purge, until float64) distribution.Entry {
+	// An end of 0 would be none: such a purge ended long ago.
+	e := distribution.Entry{Sequence: index, Kind: distribution.PurgeObject, Name: p.Object, Made: ceil(p.Made), Until: max(1, ceil(until))}
+	if p.Object == "" {
+		e.Kind, e.Group = distribution.PurgeGroup, int64(p.Group)
+	}
+	return e
+}
+
+func listEntry(e distribution.Entry, l replica.List) (_ distribution.Stream, _ distribution.Entry, err error) {
+	e.Kind, e.Number = distribution.List, l.Generation
+	e.Body, err = cbor.Marshal(l)
+	return distribution.Configuration, e, err
+}
+
+func revisionEntry(e distribution.Entry, r replica.Revision) (_ distribution.Stream, _ distribution.Entry, err error) {
+	e.Kind, e.Number, e.Name = distribution.Revision, r.Number, ""
+	e.Body, err = cbor.Marshal(r)
+	return distribution.Configuration, e, err
+}
+
+// ceil rounds a time up, to what an entry holds.
+func ceil(ms float64) int64 { return int64(min(math.Ceil(ms), math.MaxInt64/2)) }
+
+// whole are the entries of all that a state holds, by stream and in the order of the log. What came before the state kept
+// indexes comes first, under the lowest numbers: nobody has heard of a stream that long ago.
+func whole(s *replica.State) (map[distribution.Stream][]distribution.Entry, error) {
+	out := map[distribution.Stream][]distribution.Entry{}
+	index := func(k replica.Kind, name string) uint64 { return s.Indexes[replica.Fact(k, name)] }
+	for _, name := range slices.Sorted(maps.Keys(s.Purges)) {
+		p := s.Purges[name]
+		out[distribution.Purges] = append(out[distribution.Purges], purgeEntry(index(replica.SetPurge, name), p, p.Until))
+	}
+	var all []distribution.Entry
+	if r := s.Revision(); r.Number > 0 {
+		_, e, err := revisionEntry(distribution.Entry{Sequence: index(replica.SetConfig, "")}, r)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, e)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Lists)) {
+		_, e, err := listEntry(distribution.Entry{Sequence: index(replica.SetList, name), Name: name}, s.Lists[name])
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, e)
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Drains)) {
+		all = append(all, distribution.Entry{
+			Sequence: index(replica.SetDrain, name), Kind: distribution.Drain, Name: name, Made: ceil(s.Drains[name]),
+		})
+	}
+	out[distribution.Configuration] = all
+	for _, entries := range out {
+		slices.SortStableFunc(entries, func(a, b distribution.Entry) int { return cmp.Compare(a.Sequence, b.Sequence) })
+		for i := range entries {
+			if entries[i].Sequence == 0 {
+				entries[i].Sequence = uint64(i) + 1
+			}
+			if i > 0 && entries[i].Sequence <= entries[i-1].Sequence {
+				return nil, fmt.Errorf("distribution: a state whose indexes do not rise at %d", entries[i].Sequence)
+			}
+		}
+	}
+	return out, nil
+}
+
+// bodies bounds what the body of an entry may claim.
+var bodies = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// held is what of the configuration is in force in this process, so that a snapshot is told as what differs from it.
+type held struct {
+	revision uint64
+	lists    map[string]uint64
+	drains   map[string]bool
+}
+
+// sink is where entries come into force: the same as the store's facts of a member go to.
+type sink struct {
+	take    func(replica.Change)
+	revised func(replica.Revision)
+	held    held
+}
+
+func newSink(o *Options) *sink {
+	return &sink{take: o.Take, revised: o.Revised, held: held{lists: map[string]uint64{}, drains: map[string]bool{}}}
+}
+
+// put has one entry come into force. What this version can't read is an error, and passed over as the store does it.
+func (s *sink) put(e distribution.Entry) error {
+	c := replica.Change{Name: e.Name, At: float64(e.Made), Until: float64(e.Until)}
+	switch e.Kind {
+	case distribution.PurgeObject, distribution.PurgeGroup:
+		c.Kind, c.Name = replica.SetPurge, ""
+		c.Purge = &replica.Purge{Made: float64(e.Made), Until: float64(e.Until)}
+		if c.Purge.Object = e.Name; e.Kind == distribution.PurgeGroup {
+			c.Purge.Object, c.Purge.Group = "", int(e.Group)
+		}
+	case distribution.Drain:
+		c.Kind = replica.SetDrain
+		s.held.drains[e.Name] = true
+	case distribution.DrainEnded:
+		c.Kind = replica.EndDrain
+		delete(s.held.drains, e.Name)
+	case distribution.List:
+		c.Kind, c.List = replica.SetList, &replica.List{}
+		if err := bodies.Unmarshal(e.Body, c.List); err != nil {
+			return fmt.Errorf("distribution: list %q: %w", e.Name, err)
+		}
+		s.held.lists[e.Name] = e.Number
+	case distribution.Revision:
+		var r replica.Revision
+		if err := bodies.Unmarshal(e.Body, &r); err != nil {
+			return fmt.Errorf("distribution: revision %d: %w", e.Number, err)
+		}
+		s.held.revision = e.Number
+		s.revised(r)
+		return nil
+	default:
+		return fmt.Errorf("distribution: an entry of kind %d", e.Kind)
+	}
+	s.take(c)
+	return nil
+}
+
+// whole has what a snapshot holds come into force where it is not yet, and ends the drains that it does not hold.
+func (s *sink) whole(entries []distribution.Entry, bad func(error)) {
+	drains := map[string]bool{}
+	for _, e := range entries {
+		drains[e.Name] = drains[e.Name] || e.Kind == distribution.Drain
+	}
+	for _, name := range slices.SortedFunc(maps.Keys(s.held.drains), cmp.Compare[string]) {
+		if !drains[name] {
+			_ = s.put(distribution.Entry{Kind: distribution.DrainEnded, Name: name})
+		}
+	}
+	for _, e := range entries {
+		number, listed := s.held.lists[e.Name]
+		switch {
+		case e.Kind == distribution.Drain && s.held.drains[e.Name]:
+		case e.Kind == distribution.List && listed && number == e.Number:
+		case e.Kind == distribution.Revision && s.held.revision == e.Number:
+		default:
+			if err := s.put(e); err != nil {
+				bad(err)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/distribution/tree_test.go
@@ -0,0 +1,366 @@
+package distribution_test
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	pure "ravenwheel/internal/decide/distribution"
+	"ravenwheel/internal/decide/distribution/check"
+	"ravenwheel/internal/decide/replica"
+	"ravenwheel/internal/distribution"
+	"ravenwheel/internal/store"
+)
+
+// patience bounds a wait; it is no expectation of speed.
+const patience = 60 * time.Second
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, patience, 5*time.Millisecond, what)
+}
+
+// member is a member of a store as a tree begins at it: it applies what was committed up to a point that a test sets.
+type member struct {
+	log *log
+
+	mu       sync.Mutex
+	state    *replica.State
+	follower store.Follower
+	alone    bool // no quorum
+}
+
+// log is what the members of a store have committed, and what a checker holds processes against.
+type log struct {
+	clk *clock.Clock
+
+	mu      sync.Mutex
+	epoch   uint64
+	changes []replica.Change
+	history map[pure.Stream]*check.History
+}
+
+func newLog() *log {
+	l := &log{clk: clock.System(), epoch: 1, history: map[pure.Stream]*check.History{}}
+	for _, s := range distribution.Streams {
+		l.history[s] = &check.History{}
+	}
+	return l
+}
+
+// commit adds a change; members get it by apply.
+func (l *log) commit(c replica.Change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.At = l.clk.Now()
+	l.changes = append(l.changes, c)
+	index := uint64(len(l.changes))
+	e := pure.Entry{Sequence: index, Name: c.Name}
+	switch c.Kind {
+	case replica.SetPurge:
+		e.Kind, e.Name, e.Made, e.Until = pure.PurgeObject, c.Purge.Object, int64(c.Purge.Made), int64(c.Until)
+	case replica.SetDrain:
+		e.Kind = pure.Drain
+	case replica.EndDrain:
+		e.Kind = pure.DrainEnded
+	}
+	stream := pure.Configuration
+	if c.Kind == replica.SetPurge {
+		stream = pure.Purges
+	}
+	l.history[stream].Commit(l.epoch, e, int64(c.At))
+}
+
+func (l *log) purge(object string) {
+	made := l.clk.Now()
+	l.commit(replica.Change{Kind: replica.SetPurge, Until: float64(int64(made)) + 1e6, Purge: &replica.Purge{Object: object, Made: float64(int64(made))}})
+}
+
+func (l *log) length() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return uint64(len(l.changes))
+}
+
+func (l *log) member() *member { return &member{log: l, state: replica.New()} }
+
+// apply has the member take in all that was committed.
+func (m *member) apply() {
+	m.log.mu.Lock()
+	changes := m.log.changes
+	m.log.mu.Unlock()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for m.state.Applied < uint64(len(changes)) {
+		c := changes[m.state.Applied]
+		m.state.Applied++
+		if m.state.Apply(c); m.follower != nil {
+			m.follower.Applied(m.state.Applied, c, m.state.Revision())
+		}
+	}
+}
+
+func (m *member) Follow(f store.Follower) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.follower = f
+	f.Replaced(m.state)
+}
+
+func (m *member) Confirmed() (uint64, float64, error) {
+	m.mu.Lock()
+	alone := m.alone
+	m.mu.Unlock()
+	if alone {
+		return 0, 0, store.ErrUnavailable
+	}
+	at := m.log.clk.Now()
+	m.apply()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Applied, at, nil
+}
+
+func (m *member) cut(alone bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.alone = alone
+}
+
+// tree is nodes on loopback, whose links can be cut.
+type tree struct {
+	t    *testing.T
+	keys string
+	log  *log
+
+	mu    sync.Mutex
+	addrs map[string]string
+	nodes map[string]*process
+	cuts  map[[2]string]bool
+	conns map[[2]string][]net.Conn
+	names map[string]string // by address
+	slow  map[string]int    // bytes a second that a process reads
+	still map[string]bool   // processes that neither read what comes nor are heard, as when stopped by a signal
+}
+
+// process is a node, and what the checker saw of it.
+type process struct {
+	node *distribution.Node
+	peer pure.Peer
+
+	mu     sync.Mutex
+	seen   map[pure.Stream]*check.Process
+	gate   *pure.Gate
+	broken error
+	facts  []replica.Change
+}
+
+func newTree(t *testing.T) *tree {
+	tr := &tree{
+		t: t, keys: t.TempDir(), log: newLog(), addrs: map[string]string{}, nodes: map[string]*process{},
+		cuts: map[[2]string]bool{}, conns: map[[2]string][]net.Conn{}, names: map[string]string{}, slow: map[string]int{}, still: map[string]bool{},
+	}
+	require.NoError(t, store.NewCluster(tr.keys, "th"))
+	t.Cleanup(func() {
+		for _, p := range tr.nodes {
+			p.node.Close()
+		}
+	})
+	return tr
+}
+
+// settings are short, so that failures are seen soon; a test waits for what follows and not for a time.
+func settings(self pure.Peer) pure.Settings {
+	s := pure.Defaults(0, self)
+	s.Seed = uint64(len(self.Name)) + uint64(self.Name[len(self.Name)-1])
+	s.HeartbeatEvery, s.SilentFor, s.AliveEvery, s.FailoverOver = 50, 600, 500, 100
+	s.RetryFrom, s.RetryMost = 20, 200
+	s.Bound, s.ClockBound, s.EaseOver = 1500, 10, 50
+	s.AdmitPerSecond, s.AdmitBurst = 500, 500
+	s.Classes = map[string]pure.Policy{"strict": pure.Strict}
+	return s
+}
+
+func peer(name string, rank int) pure.Peer {
+	return pure.Peer{Name: name, Rank: rank, Region: "r", Zone: "z"}
+}
+
+// start runs a node: of rank 0 with a member of the store, and with candidates else. serves has it listen.
+func (tr *tree) start(p pure.Peer, source *member, serves bool, above ...string) *process {
+	tr.t.Helper()
+	if _, known := tr.addrs[p.Name]; !known {
+		require.NoError(tr.t, store.Issue(tr.keys, p.Name))
+		tr.addrs[p.Name] = "127.0.74.1:0"
+	}
+	id, err := store.LoadIdentity(tr.keys, p.Name)
+	require.NoError(tr.t, err)
+	x := &process{peer: p, seen: map[pure.Stream]*check.Process{}}
+	for _, s := range distribution.Streams {
+		x.seen[s] = check.NewProcess(tr.log.history[s])
+	}
+	set := settings(p)
+	x.gate = pure.NewGate(set)
+	o := distribution.Options{
+		Settings: set, Identity: id, Clock: tr.log.clk, MostLinks: 256, Epoch: tr.log.epoch, Take: x.take, Revised: func(replica.Revision) {},
+		Observe: func(s pure.Stream, a pure.Action) { tr.observe(x, s, a) },
+		Guard: func(s pure.Stream, g pure.GuardState) {
+			if s == pure.Purges {
+				x.mu.Lock()
+				x.gate.Set(g)
+				x.mu.Unlock()
+			}
+		},
+		Dial: func(addr string, wait time.Duration) (net.Conn, error) { return tr.dial(p.Name, addr, wait) },
+	}
+	if source != nil {
+		o.Source = source
+	}
+	for _, name := range above {
+		o.Candidates = append(o.Candidates, distribution.Candidate{Peer: tr.nodes[name].peer, Addr: tr.addrs[name]})
+	}
+	if serves {
+		ln, err := net.Listen("tcp", tr.addrs[p.Name])
+		require.NoError(tr.t, err)
+		tr.addrs[p.Name] = ln.Addr().String()
+		tr.names[ln.Addr().String()] = p.Name
+		o.Listen = ln
+	}
+	x.node, err = distribution.Start(o)
+	require.NoError(tr.t, err)
+	tr.nodes[p.Name] = x
+	return x
+}
+
+func (p *process) take(c replica.Change) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.facts = append(p.facts, c)
+}
+
+// observe holds each action of a subscriber against what was committed.
+func (tr *tree) observe(p *process, s pure.Stream, a pure.Action) {
+	tr.log.mu.Lock()
+	defer tr.log.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	err := p.seen[s].Observe(a)
+	if advance, ok := a.(pure.Advance); ok && err == nil {
+		err = p.seen[s].Claims(advance.Mark)
+	}
+	if err != nil && p.broken == nil {
+		p.broken = fmt.Errorf("%s: %w", p.peer.Name, err)
+	}
+}
+
+func (tr *tree) dial(from, addr string, wait time.Duration) (net.Conn, error) {
+	tr.mu.Lock()
+	link := [2]string{from, tr.names[addr]}
+	cut, slow := tr.cuts[link], tr.slow[from]
+	tr.mu.Unlock()
+	if cut {
+		return nil, fmt.Errorf("%s is cut off from %s", from, link[1])
+	}
+	nc, err := net.DialTimeout("tcp", addr, wait)
+	if err != nil {
+		return nil, err
+	}
+	x := &conn{Conn: nc, tree: tr, link: link, perSecond: slow}
+	if slow > 0 {
+		_ = nc.(*net.TCPConn).SetReadBuffer(1)
+	}
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.conns[link] = append(tr.conns[link], x)
+	return x, nil
+}
+
+// conn reads so many bytes a second (0: all), once the handshake is over, and nothing while either end stands still.
+type conn struct {
+	net.Conn
+	tree            *tree
+	link            [2]string
+	perSecond, read int
+	closed          atomic.Bool
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	if c.perSecond > 0 && c.read > 4096 {
+		b = b[:min(len(b), max(1, c.perSecond/20))]
+		time.Sleep(50 * time.Millisecond)
+	}
+	n, err := c.Conn.Read(b)
+	c.read += n
+	for !c.closed.Load() && c.tree.stands(c.link) {
+		time.Sleep(time.Millisecond)
+	}
+	return n, err
+}
+
+func (c *conn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
+func (tr *tree) stands(link [2]string) bool {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	return tr.still[link[0]] || tr.still[link[1]]
+}
+
+func (tr *tree) stop(name string, still bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	tr.still[name] = still
+}
+
+// cut cuts one process off from another, or joins it again.
+func (tr *tree) cut(from, to string, cut bool) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	link := [2]string{from, to}
+	tr.cuts[link] = cut
+	for _, nc := range tr.conns[link] {
+		nc.Close()
+	}
+	delete(tr.conns, link)
+}
+
+// caughtUp waits until processes have in effect all that was committed, and no rule was broken on the way.
+func (tr *tree) caughtUp(names ...string) {
+	tr.t.Helper()
+	for _, name := range names {
+		p := tr.nodes[name]
+		var last error
+		ok := func() bool {
+			tr.log.mu.Lock()
+			defer tr.log.mu.Unlock()
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			last = nil
+			for _, s := range distribution.Streams {
+				if tr.log.history[s].Latest() == (pure.Position{}) {
+					continue // nothing was committed
+				}
+				last = errors.Join(last, p.seen[s].CaughtUp(int64(tr.log.clk.Now())))
+			}
+			return last == nil || p.broken != nil
+		}
+		if !assert.Eventually(tr.t, ok, patience, 5*time.Millisecond, "%s has all", name) {
+			require.NoError(tr.t, last)
+		}
+		p.mu.Lock()
+		require.NoError(tr.t, p.broken)
+		p.mu.Unlock()
+	}
+}
+
+// at is where a process is subscribed for purges.
+func (p *process) at() string { return p.node.Status()[0].At }
