--- a/internal/lab/field/play.go
+++ b/internal/lab/field/play.go
@@ -170,106 +170,140 @@
 	}
 }
 
+// bring carries out one fault, and undoes it once it has lasted.
 func (p *player) bring(ctx context.Context, f Fault, some []*Process, caches []policy.CacheID) error {
-	set := func(x fleet.Fault) {
-		for _, id := range caches {
-			if s := p.field.Fleet.Server(id); s != nil {
-				s.Set(x)
-			}
-		}
-	}
 	switch f.Kind {
 	case "kill":
-		p.strike(some)
-		p.field.Kill(some...)
-		if f.For > 0 {
-			p.lasts(ctx, f)
-			return p.field.Start(some...)
-		}
+		return p.kill(ctx, f, some)
 	case "restart":
-		for _, q := range some {
-			if err := p.field.Stop(q); err != nil {
-				return err
-			}
-			if err := p.field.Start(q); err != nil {
-				return err
-			}
-		}
+		return p.restart(some)
 	case "stop":
-		p.strike(some)
-		for _, q := range some {
-			q.taken.Store(false)
-			_ = q.Signal(syscall.SIGSTOP)
-		}
-		p.lasts(ctx, f)
-		for _, q := range some {
-			if q.Signal(syscall.SIGCONT) == nil {
-				q.taken.Store(true)
-			}
-		}
+		p.stop(ctx, f, some)
 	case "cut", "loss", "jitter", "narrow", "reset":
-		change := func(on bool) {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			for _, way := range [][2]int{{f.From, f.To}, {f.To, f.From}} {
-				l := p.links[way]
-				switch f.Kind {
-				case "cut":
-					l.Cut = on
-				case "loss":
-					l.Loss = f.Size * zeroOne(on)
-				case "jitter":
-					l.Jitter = f.Size * zeroOne(on)
-				case "narrow":
-					l.Rate = f.Size * zeroOne(on)
-				case "reset":
-					l.Reset = on
-				}
-				p.links[way] = l
-				p.field.Between(way[0], way[1], l)
-				if !f.Both {
-					break
-				}
-			}
-		}
-		change(true)
+		p.changeLinks(f, true)
 		p.lasts(ctx, f)
-		change(false)
+		p.changeLinks(f, false)
 	case "lose", "crash":
 		p.field.Lose(caches...)
 		p.lasts(ctx, f)
 		return p.field.Return(caches...)
 	case "replace":
-		for _, id := range caches {
-			if err := p.field.Replace(id); err != nil {
-				return err
-			}
-		}
-		time.Sleep(drainFor)
-		for _, id := range caches {
-			if err := p.field.Remove(id); err != nil {
-				return err
-			}
-		}
+		return p.replace(caches)
 	case "slow", "fail", "silent":
-		set(fleet.Fault{Slow: f.Size * zeroOne(f.Kind == "slow"), Crashes: f.Kind == "fail", Silent: f.Kind == "silent"})
+		p.setFault(caches, fleet.Fault{Slow: f.Size * zeroOne(f.Kind == "slow"), Crashes: f.Kind == "fail", Silent: f.Kind == "silent"})
 		p.lasts(ctx, f)
-		set(fleet.Fault{})
+		p.setFault(caches, fleet.Fault{})
 	case "purge":
 		for group := range int(f.Size * fleet.Groups) {
 			p.field.Purge("", group)
 		}
 	case "move":
-		old, err := p.field.Move()
-		if err != nil {
+		return p.moveBoard()
+	}
+	return nil
+}
+
+// kill ends processes at once, and starts them again if the fault has an end.
+func (p *player) kill(ctx context.Context, f Fault, some []*Process) error {
+	p.strike(some)
+	p.field.Kill(some...)
+	if f.For <= 0 {
+		return nil
+	}
+	p.lasts(ctx, f)
+	return p.field.Start(some...)
+}
+
+// restart ends and starts processes one after the other.
+func (p *player) restart(some []*Process) error {
+	for _, q := range some {
+		if err := p.field.Stop(q); err != nil {
+			return err
+		}
+		if err := p.field.Start(q); err != nil {
 			return err
 		}
-		defer old.Close()
-		return p.field.Reload(slices.DeleteFunc(slices.Clone(p.field.Processes), func(q *Process) bool { return !q.Running() })...)
 	}
 	return nil
 }
 
+// stop suspends processes, and resumes them once the fault has lasted.
+func (p *player) stop(ctx context.Context, f Fault, some []*Process) {
+	p.strike(some)
+	for _, q := range some {
+		q.taken.Store(false)
+		_ = q.Signal(syscall.SIGSTOP)
+	}
+	p.lasts(ctx, f)
+	for _, q := range some {
+		if q.Signal(syscall.SIGCONT) == nil {
+			q.taken.Store(true)
+		}
+	}
+}
+
+// changeLinks sets or clears a fault of the links between two zones, in one direction or in both.
+func (p *player) changeLinks(f Fault, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, way := range [][2]int{{f.From, f.To}, {f.To, f.From}} {
+		l := p.links[way]
+		switch f.Kind {
+		case "cut":
+			l.Cut = on
+		case "loss":
+			l.Loss = f.Size * zeroOne(on)
+		case "jitter":
+			l.Jitter = f.Size * zeroOne(on)
+		case "narrow":
+			l.Rate = f.Size * zeroOne(on)
+		case "reset":
+			l.Reset = on
+		}
+		p.links[way] = l
+		p.field.Between(way[0], way[1], l)
+		if !f.Both {
+			break
+		}
+	}
+}
+
+// replace puts new caches in the place of others, which drain before they leave.
+func (p *player) replace(caches []policy.CacheID) error {
+	for _, id := range caches {
+		if err := p.field.Replace(id); err != nil {
+			return err
+		}
+	}
+	time.Sleep(drainFor)
+	for _, id := range caches {
+		if err := p.field.Remove(id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// setFault has the servers of caches behave badly, or well again.
+func (p *player) setFault(caches []policy.CacheID, fault fleet.Fault) {
+	for _, id := range caches {
+		if s := p.field.Fleet.Server(id); s != nil {
+			s.Set(fault)
+		}
+	}
+}
+
+// moveBoard moves the board to another address, and reloads the processes that run.
+func (p *player) moveBoard() error {
+	old, err := p.field.Move()
+	if err != nil {
+		return err
+	}
+	defer old.Close()
+	stopped := func(q *Process) bool { return !q.Running() }
+	return p.field.Reload(slices.DeleteFunc(slices.Clone(p.field.Processes), stopped)...)
+}
+
 func zeroOne(b bool) float64 {
 	if b {
 		return 1
