--- a/internal/lab/field/page.go
+++ b/internal/lab/field/page.go
@@ -29,109 +29,146 @@
 
 // WritePage writes what a field showed as one page that needs nothing else.
 func WritePage(w io.Writer, r *Result) error {
-	var plots []template.HTML
-	draw := func(p *plot.Plot, tall float64) error {
-		h, err := report.SVG(p, wide, tall)
-		plots = append(plots, h)
+	plots, err := r.plots()
+	if err != nil {
 		return err
 	}
-	heat, err := r.heat()
-	if err == nil && heat != nil {
-		err = draw(heat, max(leastHeat, 60+perRow*float64(len(r.Caches))))
-	}
+	t, err := template.New("page").Funcs(template.FuncMap{"inc": func(i int) int { return i + 1 }}).Parse(page)
 	if err != nil {
 		return err
 	}
-	line := func(f func(Window) float64) plotter.XYs {
-		out := make(plotter.XYs, len(r.Windows))
-		for i, x := range r.Windows {
-			out[i] = plotter.XY{X: float64(i), Y: f(x)}
+	title := r.Scenario.Name
+	if title == "" {
+		title = "A field"
+	}
+	return t.Execute(w, struct {
+		Window
+		Title string
+		Plots []template.HTML
+		R     *Result
+	}{r.total(), title, plots, r})
+}
+
+// plots draws the heat map, if there is enough for one, and the charts.
+func (r *Result) plots() ([]template.HTML, error) {
+	var plots []template.HTML
+	heat, err := r.heat()
+	if err != nil {
+		return nil, err
+	}
+	if heat != nil {
+		drawn, err := report.SVG(heat, wide, max(leastHeat, 60+perRow*float64(len(r.Caches))))
+		if err != nil {
+			return nil, err
 		}
-		return out
+		plots = append(plots, drawn)
 	}
-	known := func(f func(Agreed) int) plotter.XYs {
-		out := make(plotter.XYs, len(r.Agreed))
-		for i, x := range r.Agreed {
-			out[i] = plotter.XY{X: float64(x.Second), Y: float64(f(x))}
+	for _, c := range r.charts() {
+		p, err := r.draw(c)
+		if err != nil {
+			return nil, err
 		}
-		return out
+		drawn, err := report.SVG(p, wide, high)
+		if err != nil {
+			return nil, err
+		}
+		plots = append(plots, drawn)
 	}
-	type curve struct {
-		name   string
-		colour color.Color
-		points plotter.XYs
+	return plots, nil
+}
+
+// total is what became of all requests of all windows.
+func (r *Result) total() (all Window) {
+	for _, x := range r.Windows {
+		all.Asked += x.Asked
+		all.Served += x.Served
+		all.Refused += x.Refused
+		all.Failed += x.Failed
+		all.Lost += x.Lost
 	}
-	for _, x := range []struct {
-		title  string
-		curves []curve
-	}{
+	return all
+}
+
+// chart is a plot of curves over the seconds of a scenario.
+type chart struct {
+	title  string
+	curves []curve
+}
+
+// curve is one line of a chart.
+type curve struct {
+	name   string
+	colour color.Color
+	points plotter.XYs
+}
+
+// charts are those of the page, in their order.
+func (r *Result) charts() []chart {
+	return []chart{
 		{"Requests a second", []curve{
-			{"asked", grey, line(func(x Window) float64 { return float64(x.Asked) })},
-			{"served", green, line(func(x Window) float64 { return float64(x.Served) })},
-			{"refused, failed or lost", red, line(func(x Window) float64 { return float64(x.Refused + x.Failed + x.Lost) })},
+			{"asked", grey, r.windowPoints(func(x Window) float64 { return float64(x.Asked) })},
+			{"served", green, r.windowPoints(func(x Window) float64 { return float64(x.Served) })},
+			{"refused, failed or lost", red, r.windowPoints(func(x Window) float64 { return float64(x.Refused + x.Failed + x.Lost) })},
 		}},
 		{"Attempts at caches a second", []curve{
-			{"attempts", blue, line(func(x Window) float64 { return float64(x.Attempts) })},
-			{"of them filled", red, line(func(x Window) float64 { return float64(x.Filled) })},
+			{"attempts", blue, r.windowPoints(func(x Window) float64 { return float64(x.Attempts) })},
+			{"of them filled", red, r.windowPoints(func(x Window) float64 { return float64(x.Filled) })},
 		}},
 		{"Processes: those that run, and how many others take for alive", []curve{
-			{"run", grey, line(func(x Window) float64 { return float64(x.Up) })},
-			{"least that any takes for alive", red, known(func(x Agreed) int { return x.Least })},
-			{"most", blue, known(func(x Agreed) int { return x.Most })},
+			{"run", grey, r.windowPoints(func(x Window) float64 { return float64(x.Up) })},
+			{"least that any takes for alive", red, r.agreedPoints(func(x Agreed) int { return x.Least })},
+			{"most", blue, r.agreedPoints(func(x Agreed) int { return x.Most })},
 		}},
-	} {
-		p := plot.New()
-		p.Title.Text, p.X.Label.Text, p.Y.Min = x.title, "seconds", 0
-		p.Add(plotter.NewGrid())
-		most := 1.0
-		for _, c := range x.curves {
-			for _, xy := range c.points {
-				most = max(most, xy.Y)
-			}
-		}
-		if err := r.bands(p, 0, most); err != nil {
-			return err
-		}
-		for _, c := range x.curves {
-			if len(c.points) == 0 {
-				continue
-			}
-			l, err := plotter.NewLine(c.points)
-			if err != nil {
-				return err
-			}
-			l.Color, l.Width = c.colour, vg.Points(1.4)
-			p.Add(l)
-			p.Legend.Add(c.name, l)
-		}
-		p.Legend.Top, p.Legend.Left = true, true
-		p.Y.Max = most * 1.35 // room for the names
-		if err := draw(p, high); err != nil {
-			return err
-		}
 	}
-	t, err := template.New("page").Funcs(template.FuncMap{"inc": func(i int) int { return i + 1 }}).Parse(page)
-	if err != nil {
-		return err
+}
+
+// windowPoints are a figure of each window.
+func (r *Result) windowPoints(figure func(Window) float64) plotter.XYs {
+	out := make(plotter.XYs, len(r.Windows))
+	for i, x := range r.Windows {
+		out[i] = plotter.XY{X: float64(i), Y: figure(x)}
 	}
-	var all Window
-	for _, x := range r.Windows {
-		all.Asked += x.Asked
-		all.Served += x.Served
-		all.Refused += x.Refused
-		all.Failed += x.Failed
-		all.Lost += x.Lost
+	return out
+}
+
+// agreedPoints are a figure of each second in which processes were asked whom they take for alive.
+func (r *Result) agreedPoints(figure func(Agreed) int) plotter.XYs {
+	out := make(plotter.XYs, len(r.Agreed))
+	for i, x := range r.Agreed {
+		out[i] = plotter.XY{X: float64(x.Second), Y: float64(figure(x))}
 	}
-	title := r.Scenario.Name
-	if title == "" {
-		title = "A field"
+	return out
+}
+
+// draw makes the plot of a chart, with the faults marked behind its curves.
+func (r *Result) draw(c chart) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Min = c.title, "seconds", 0
+	p.Add(plotter.NewGrid())
+	most := 1.0
+	for _, curve := range c.curves {
+		for _, xy := range curve.points {
+			most = max(most, xy.Y)
+		}
 	}
-	return t.Execute(w, struct {
-		Window
-		Title string
-		Plots []template.HTML
-		R     *Result
-	}{all, title, plots, r})
+	if err := r.bands(p, 0, most); err != nil {
+		return nil, err
+	}
+	for _, curve := range c.curves {
+		if len(curve.points) == 0 {
+			continue
+		}
+		l, err := plotter.NewLine(curve.points)
+		if err != nil {
+			return nil, err
+		}
+		l.Color, l.Width = curve.colour, vg.Points(1.4)
+		p.Add(l)
+		p.Legend.Add(curve.name, l)
+	}
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Y.Max = most * 1.35 // room for the names
+	return p, nil
 }
 
 // bands marks when each fault lasted, with its number above.
