--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -46,8 +46,8 @@
 	}
 	for i, g := range t.Grades {
 		twice := slices.ContainsFunc(t.Grades[:i], func(o grade) bool { return o.Name == g.Name })
-		if err := g.check(twice); err != nil {
-			return fmt.Errorf("settings.Grades[%d].%w", i, err)
+		if err := g.check(fmt.Sprintf("settings.Grades[%d]", i), twice); err != nil {
+			return err
 		}
 	}
 	if err := t.lists(); err != nil {
@@ -56,18 +56,19 @@
 	return t.numbers()
 }
 
-func (g grade) check(twice bool) error {
+// check holds a class against its rules; path is where it stands in the settings.
+func (g grade) check(path string, twice bool) error {
 	switch {
 	case g.Name == "" || twice || strings.ContainsAny(g.Name, " ,=\r\n"):
-		return fmt.Errorf("Name: class %q is empty, named twice or can't be written in a field", g.Name)
+		return fmt.Errorf("%s.Name: class %q is empty, named twice or can't be written in a field", path, g.Name)
 	case !slices.Contains(effects, g.Effect):
-		return fmt.Errorf("Effect: %q is none of %s", g.Effect, strings.Join(effects, ", "))
+		return fmt.Errorf("%s.Effect: %q is none of %s", path, g.Effect, strings.Join(effects, ", "))
 	case g.DeadlineUs <= 0:
-		return fmt.Errorf("DeadlineUs: %v is not above 0", g.DeadlineUs)
+		return fmt.Errorf("%s.DeadlineUs: %v is not above 0", path, g.DeadlineUs)
 	case g.Effect == "deduplicated" && g.WindowUs <= 0:
-		return fmt.Errorf("WindowUs: %v is not above 0, and repeats of the class are discarded for so long", g.WindowUs)
+		return fmt.Errorf("%s.WindowUs: %v is not above 0, and repeats of the class are discarded for so long", path, g.WindowUs)
 	}
-	return least("", map[string]float64{
+	return least(path+".", map[string]float64{
 		"TargetUs": g.TargetUs, "WindowUs": g.WindowUs, "AimStretch": g.AimStretch, "Worth": g.Worth, "LateValue": g.LateValue,
 	})
 }
--- a/internal/distribution/tree_test.go
+++ b/internal/distribution/tree_test.go
@@ -84,12 +84,6 @@
 	l.commit(replica.Change{Kind: replica.SetPurge, Until: float64(int64(made)) + 1e6, Purge: &replica.Purge{Object: object, Made: float64(int64(made))}})
 }
 
-func (l *log) length() uint64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return uint64(len(l.changes))
-}
-
 func (l *log) member() *member { return &member{log: l, state: replica.New()} }
 
 // apply has the member take in all that was committed.
--- a/internal/lab/sim/kinds_test.go
+++ b/internal/lab/sim/kinds_test.go
@@ -173,16 +173,16 @@
 // Requests that join a fill share it; a fill whose client has left ends, or runs on where it does.
 func TestFills(t *testing.T) {
 	nothing := func(*world, *proxy, *request) {}
-	w, r := fills(t, func(s *Spec) {}, policy.Join, nothing)
+	w, _ := fills(t, func(s *Spec) {}, policy.Join, nothing)
 	require.Equal(t, 2, w.out.Origin, "without joins")
-	w, r = fills(t, func(s *Spec) { s.Fleet.ParentsJoin = true }, 0, nothing)
+	w, _ = fills(t, func(s *Spec) { s.Fleet.ParentsJoin = true }, 0, nothing)
 	require.Equal(t, 1, w.out.Origin, "the parent fetches once")
-	w, r = fills(t, func(s *Spec) { s.Fleet.Joins = true }, policy.Join, nothing)
+	w, r := fills(t, func(s *Spec) { s.Fleet.Joins = true }, policy.Join, nothing)
 	require.Equal(t, 1, w.out.Origin)
 	for _, x := range r {
 		require.True(t, x.answered, "both are served")
 	}
-	w, r = fills(t, func(s *Spec) { s.Fleet.Fills = 1 }, 0, nothing)
+	_, r = fills(t, func(s *Spec) { s.Fleet.Fills = 1 }, 0, nothing)
 	require.Equal(t, policy.NoteNoPlace, r[1].attempts[0].note)
 	require.True(t, r[0].answered)
 
@@ -191,7 +191,7 @@
 			p.act(policy.Cancel{ID: r.id, Attempt: 0})
 		}
 	}
-	w, r = fills(t, func(s *Spec) {}, 0, leave)
+	w, _ = fills(t, func(s *Spec) {}, 0, leave)
 	require.Equal(t, 1, w.out.Origin, "the first never asked")
 	w, r = fills(t, func(s *Spec) { s.Fleet.FillsRunOn, s.Fleet.Joins = true, true }, policy.Join, leave)
 	require.Equal(t, 1, w.out.Origin, "the second found the fill of the first")
--- a/internal/lab/validate/operators_test.go
+++ b/internal/lab/validate/operators_test.go
@@ -35,7 +35,6 @@
 	fleet   *fleet.Fleet
 	core    *core.Core
 	front   *resp.Front
-	addr    string
 	members []membership.Member
 	version uint64
 	told    []fleet.Told
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -12,6 +12,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -319,9 +320,9 @@
 		return err
 	}
 	r.Header = header
-	done := make(chan struct{})
-	r.Cancel = done
-	go func() { <-b.stop; close(done) }()
+	ctx, cancel := context.WithCancel(r.Context())
+	r = r.WithContext(ctx)
+	go func() { <-b.stop; cancel() }()
 	go func() {
 		a, err := http.DefaultClient.Do(r)
 		if err != nil {
