--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 lint:
 	@test -z "$$(gofmt -l .)" || { gofmt -l .; exit 1; }
 	go vet ./... && go vet -tags debug ./...
+	go tool staticcheck ./... && go tool staticcheck -tags debug ./...
 	.ci/pure
 
 run: build
