ravenlab scale: hollow processes of all roles in virtual time, with today's way beside them

What the store commits reaches every process through internal/decide/distribution, and nothing played that at the target's sizes. internal/lab/scale runs the very machines, messages, module, ledger and committed state of up to 20,000 processes in one event loop, with links, faults from a timeline, clocks apart, and a leader that feeds every process as today's way does. What reaches a process is held against what was committed; bytes, processor and heap are told by role, the loop's own share apart.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run demo torture soak fuzz bench standing sites variants field
+.PHONY: build test race lint run demo torture soak fuzz bench standing sites variants field scale
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -73,3 +73,14 @@
 FIELD = 30,100,300
 field:
 	FIELD=$(FIELD) FIELD_OFF=100 go test -count=1 -timeout 30m -v -run TestFull ./internal/lab/field
+
+# Thousands of hollow processes in virtual time, at all sizes and both ways; some minutes, no part of CI (a small one is). Each
+# size is a run of its own, so that one's heap is not the next one's.
+SCALE = 100 300 1000 3000 17000
+SCALE_OUT = bin/scale
+scale: build
+	mkdir -p $(SCALE_OUT)
+	for n in $(SCALE); do for way in levels direct; do \
+	bin/ravenlab scale lab/scale/growth.jsonc --sizes $$n --ways $$way --loop --dir $(SCALE_OUT) || exit 1; done; done
+	bin/ravenlab scale lab/scale/target.jsonc --dir $(SCALE_OUT)
+	bin/ravenlab scale page $(SCALE_OUT)/growth.html $(foreach n,$(SCALE),$(foreach way,levels direct,$(SCALE_OUT)/growth-$(way)-$(n).json))
--- a/cmd/ravenlab/main.go
+++ b/cmd/ravenlab/main.go
@@ -25,7 +25,7 @@
 	defer stop()
 	root := &cobra.Command{Use: "ravenlab", Short: "Stand-ins, load and experiments for ravenwheel", SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(fleetCommand(), loadCommand(), demoCommand(), runCommand(), sweepCommand(), reportCommand(), shrinkCommand(), validateCommand(), fieldCommand(),
-		capacityCommand())
+		capacityCommand(), scaleCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "ravenlab:", err)
 		os.Exit(1)
--- /dev/null
+++ b/internal/lab/scale/apply.go
@@ -0,0 +1,176 @@
+package scale
+
+import (
+	"fmt"
+	"time"
+
+	"ravenwheel/internal/config"
+	"ravenwheel/internal/decide/distribution"
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/decide/replica"
+	"ravenwheel/policy"
+)
+
+// applier is what control traffic touches in a process behind the receiver: the module's lists and purges, the ledger of
+// servers, the configuration as it is parsed, and in members of the store (and in every process of today's way) the
+// committed state.
+type applier struct {
+	w        *world
+	p        *process
+	router   *policy.Router
+	ledger   *membership.Ledger
+	state    *replica.State // nil: not held
+	live     *config.Live
+	acts     []policy.Action
+	revision uint64
+	bad      error
+}
+
+func newApplier(w *world, p *process, state bool) *applier {
+	ms := func(v int) time.Duration { return time.Duration(v) * time.Millisecond }
+	a := &applier{w: w, p: p}
+	var err error
+	a.router, err = policy.New(policy.Settings{
+		Routers: w.spec.ZoneProcesses, ZoneRouters: []int{w.spec.ZoneProcesses}, ParentKind: 1, OriginKind: 2, PurgeTakes: ms(6000),
+		PurgeNotice: ms(1000), WeightsTold: true, MaxTries: 8, Classes: []policy.Class{
+			{Target: ms(400), Deadline: ms(5000), Worth: 2, InParts: true}, {Target: ms(400), Deadline: ms(2500), Worth: 1},
+			{Target: ms(600), Deadline: ms(3000), Worth: 3, Effect: policy.Unsafe, Uncached: true},
+		},
+	}, uint64(p.id)+1)
+	if err != nil {
+		panic(err) // of settings made here
+	}
+	a.ledger, err = membership.New(membership.Settings{
+		Sources: []membership.Source{{Name: "store"}}, DropDrain: 2000, GoneFor: 60_000, WeightStep: 2, WeightEvery: 1000,
+	})
+	if err != nil {
+		panic(err) // of settings made here
+	}
+	if state {
+		a.state = replica.New()
+	}
+	return a
+}
+
+// now is the process's own clock for its ledger, and for the module.
+func (a *applier) now() (float64, policy.Time) {
+	at := a.w.clock(a.p)
+	return at, policy.Time((at - epoch0 + hourMs) * 1e6)
+}
+
+// hourMs is how long a process has run already, for the module: its clock has no origin, and 0 would be no time.
+const hourMs = 3_600_000
+
+// entry puts one in force. again: it is of a whole state, and may be in force already.
+func (a *applier) entry(e distribution.Entry) {
+	now, at := a.now()
+	switch e.Kind {
+	case distribution.PurgeObject:
+		a.purged(at, policy.Purged{Object: e.Name, Group: int(e.Group), Age: age(now, e.Made)})
+	case distribution.PurgeGroup:
+		a.purged(at, policy.Purged{Group: int(e.Group), Age: age(now, e.Made)})
+	case distribution.Revision:
+		if e.Number <= a.revision {
+			return
+		}
+		live, err := config.ParseLive("revision", string(e.Body))
+		if err != nil {
+			a.bad = err
+			return
+		}
+		a.live, a.revision = live, e.Number
+	case distribution.List:
+		a.list(now, e)
+	case distribution.Drain, distribution.DrainEnded:
+		a.drain(now, e.Name, e.Kind == distribution.Drain)
+	}
+}
+
+func age(now float64, made int64) time.Duration {
+	return time.Duration(max(0, now-float64(made)) * 1e6)
+}
+
+func (a *applier) purged(at policy.Time, p policy.Purged) {
+	a.acts = a.router.Handle(at, p, a.acts[:0])
+}
+
+// list takes that of the process's own zone; of others it only knows that they changed.
+func (a *applier) list(now float64, e distribution.Entry) {
+	if e.Name != sourceName(a.p.zone) {
+		return
+	}
+	c, err := replica.DecodeChange(e.Body)
+	if err != nil || c.List == nil {
+		a.bad = fmt.Errorf("list of %s: %v", e.Name, err)
+		return
+	}
+	a.take(now, c.List)
+}
+
+func (a *applier) take(now float64, list *replica.List) {
+	l := membership.List{Generation: list.Generation}
+	for _, s := range list.Servers {
+		m := membership.Member{Member: policy.Member{ID: s.ID, Weight: s.Weight}, Addr: s.Addr}
+		l.Entries = append(l.Entries, membership.Entry{Member: m})
+	}
+	a.tell(now, l)
+}
+
+func (a *applier) drain(now float64, name string, on bool) {
+	if id, ok := a.w.servers[name]; ok && a.w.zoneOf(id) == a.p.zone {
+		a.tell(now, membership.Drain{ID: id, On: on})
+	}
+}
+
+// tell has the ledger take an event, and the module what it publishes.
+func (a *applier) tell(now float64, e membership.Event) {
+	for _, x := range a.ledger.Handle(now, e, nil) {
+		switch x := x.(type) {
+		case membership.Publish:
+			m := policy.Members{Kind: policy.ListChanges, Version: int64(x.Version)}
+			if x.Whole {
+				m.Kind = policy.ListWhole
+			}
+			for _, y := range x.Members {
+				m.Entries = append(m.Entries, y.Member)
+			}
+			_, at := a.now()
+			a.acts = a.router.Handle(at, m, a.acts[:0])
+		case membership.Wake:
+			a.w.wake(a.p, slotLedger, x.At-now)
+		}
+	}
+}
+
+// due tells the ledger that a wake that it asked for is due.
+func (a *applier) due() {
+	now, _ := a.now()
+	a.tell(now, membership.Tick{})
+}
+
+// change applies one of the store's log, as a member of the store or today's follower does.
+func (a *applier) change(raw []byte) {
+	c, err := replica.DecodeChange(raw)
+	if err != nil {
+		a.bad = err
+		return
+	}
+	if a.state.Apply(c).Verdict != replica.OK {
+		return
+	}
+	now, at := a.now()
+	switch c.Kind {
+	case replica.SetPurge:
+		a.purged(at, policy.Purged{Object: c.Purge.Object, Group: c.Purge.Group, Age: age(now, int64(c.Purge.Made))})
+	case replica.SetList:
+		if c.Name == sourceName(a.p.zone) {
+			a.take(now, c.List)
+		}
+	case replica.SetDrain, replica.EndDrain:
+		a.drain(now, c.Name, c.Kind == replica.SetDrain)
+	case replica.SetConfig:
+		if live, err := config.ParseLive("revision", c.Text); err == nil {
+			a.live, a.revision = live, a.state.Revision().Number
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/spec_test.go
@@ -0,0 +1,47 @@
+package scale
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Every file of lab/scale can be used.
+func TestFiles(t *testing.T) {
+	paths, err := filepath.Glob("../../../lab/scale/*.jsonc")
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, p := range paths {
+		s := read(t, filepath.Base(p))
+		require.NoError(t, s.Valid(), p)
+		require.Equal(t, strings.TrimSuffix(filepath.Base(p), ".jsonc"), s.Name)
+	}
+}
+
+// What can't be used is named with its place, all of it at once.
+func TestDefects(t *testing.T) {
+	_, bad := Parse("x.jsonc", []byte(`{
+  "processes": [5, 100],
+  "seconds": 0,
+  "purges": 3,
+  "faults": []
+}`))
+	require.ErrorContains(t, bad.Err(), "x.jsonc:4:3")
+	_, bad = Parse("x.jsonc", []byte(`{
+  "processes": [5, 100],
+  "seconds": 0,
+  "faults": [
+    {"kind": "kil"},
+    {"kind": "kill", "at_s": 0, "for_s": 1},
+    {"kind": "cut", "at_s": 0, "for_s": 1, "region": 6},
+    {"kind": "restart", "at_s": 0, "share": 0.1, "for_s": 2},
+    {"kind": "burst", "at_s": 900, "for_s": 1, "size": 2}
+  ]
+}`))
+	text := bad.Error()
+	for _, want := range []string{"x.jsonc:2:17", "x.jsonc:3:14", "x.jsonc:5:14", `"kil" is none of burst, clocks,`, "x.jsonc:6", "x.jsonc:7:54", "x.jsonc:8:59", "x.jsonc:9:31"} {
+		require.Contains(t, text, want)
+	}
+}
