--- a/Makefile
+++ b/Makefile
@@ -78,9 +78,11 @@
 # size is a run of its own, so that one's heap is not the next one's.
 SCALE = 100 300 1000 3000 17000
 SCALE_OUT = bin/scale
+SCALE_RUNS = $(foreach n,$(SCALE),$(foreach way,levels direct,$(SCALE_OUT)/growth-$(way)-$(n).json))
 scale: build
 	mkdir -p $(SCALE_OUT)
 	for n in $(SCALE); do for way in levels direct; do \
 	bin/ravenlab scale lab/scale/growth.jsonc --sizes $$n --ways $$way --loop --dir $(SCALE_OUT) || exit 1; done; done
-	bin/ravenlab scale lab/scale/target.jsonc --dir $(SCALE_OUT)
-	bin/ravenlab scale page $(SCALE_OUT)/growth.html $(foreach n,$(SCALE),$(foreach way,levels direct,$(SCALE_OUT)/growth-$(way)-$(n).json))
+	for way in levels direct; do bin/ravenlab scale lab/scale/target.jsonc --ways $$way --dir $(SCALE_OUT) || exit 1; done
+	bin/ravenlab scale page $(SCALE_OUT)/growth.html $(SCALE_RUNS)
+	bin/ravenlab scale recordings $(SCALE_OUT)/scale-growth.json $(SCALE_RUNS)
--- a/cmd/ravenlab/scale.go
+++ b/cmd/ravenlab/scale.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"runtime"
 	"runtime/debug"
 	"strings"
 	"text/tabwriter"
@@ -77,7 +78,7 @@
 	cmd.Flags().BoolVar(&loop, "loop", false, "play the loop once more with empty machines, to tell its own share; up to 3.4 GB more")
 	cmd.Flags().StringVar(&dir, "dir", "", "write a JSON file of each run into this directory")
 	cmd.Flags().StringVar(&page, "html", "", "write a page to this file")
-	cmd.AddCommand(scalePage())
+	cmd.AddCommand(scalePage(), scaleRecordings())
 	return cmd
 }
 
@@ -136,27 +137,47 @@
 	return nil
 }
 
-func scalePage() *cobra.Command {
+// keptRuns reads runs that were kept.
+func keptRuns(paths []string) (runs []*scale.Result, err error) {
+	for _, path := range paths {
+		raw, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		r := &scale.Result{}
+		if err := json.Unmarshal(raw, r); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		runs = append(runs, r)
+	}
+	return runs, nil
+}
+
+func fromRuns(use, short string, write func(io.Writer, []*scale.Result) error) *cobra.Command {
 	return &cobra.Command{
-		Use: "page OUT.html RUN.json...", Short: "Write a page from runs that were kept", Args: cobra.MinimumNArgs(2),
+		Use: use, Short: short, Args: cobra.MinimumNArgs(2),
 		RunE: func(_ *cobra.Command, args []string) error {
-			var runs []*scale.Result
-			for _, path := range args[1:] {
-				raw, err := os.ReadFile(path)
-				if err != nil {
-					return err
-				}
-				r := &scale.Result{}
-				if err := json.Unmarshal(raw, r); err != nil {
-					return fmt.Errorf("%s: %w", path, err)
-				}
-				runs = append(runs, r)
+			runs, err := keptRuns(args[1:])
+			if err != nil {
+				return err
 			}
 			f, err := os.Create(args[0])
 			if err != nil {
 				return err
 			}
-			return errors.Join(scale.WritePage(f, "Scale", runs), f.Close())
+			return errors.Join(write(f, runs), f.Close())
 		},
 	}
 }
+
+func scalePage() *cobra.Command {
+	return fromRuns("page OUT.html RUN.json...", "Write a page from runs that were kept", func(w io.Writer, runs []*scale.Result) error {
+		return scale.WritePage(w, "Scale", runs)
+	})
+}
+
+func scaleRecordings() *cobra.Command {
+	machine := fmt.Sprintf("%d processors", runtime.NumCPU())
+	return fromRuns("recordings OUT.json RUN.json...", "Write what runs at several sizes measured as points for the capacity page",
+		func(w io.Writer, runs []*scale.Result) error { return scale.WriteRecordings(w, machine, runs) })
+}
--- a/internal/lab/scale/check_test.go
+++ b/internal/lab/scale/check_test.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"encoding/json"
 	"slices"
 	"strings"
 	"testing"
@@ -159,3 +160,23 @@
 	require.Contains(t, r.Rules[0], "took 9000 ms to "+p.name)
 	require.True(t, strings.Contains(r.Rules[1], "from 0.0 to 10.0 s"), "the burst may pass ten times as much: %v", r.Rules)
 }
+
+// Recordings have a point a size, in order, and none is made of fewer sizes than can be fitted.
+func TestRecordings(t *testing.T) {
+	var runs []*Result
+	for _, n := range []int{300, 100, 3000, 1000} {
+		r := &Result{Name: "growth", Way: "levels", Processes: n, PerRole: []RoleCost{{Role: "proxy", InKBPerS: 5}}}
+		runs = append(runs, r)
+	}
+	runs = append(runs, &Result{Way: "direct", Processes: 100})
+	var out strings.Builder
+	require.NoError(t, WriteRecordings(&out, "a machine", runs))
+	var got Recordings
+	require.NoError(t, json.Unmarshal([]byte(out.String()), &got))
+	require.Len(t, got.Recordings, len(recorded)-1, "one size of today's way is too few")
+	for _, x := range got.Recordings {
+		if x.Name == "scale/proxy-bytes-per-s" {
+			require.Equal(t, []Point{{100, 5000}, {300, 5000}, {1000, 5000}, {3000, 5000}}, x.Points)
+		}
+	}
+}
--- a/internal/lab/scale/direct.go
+++ b/internal/lab/scale/direct.go
@@ -56,7 +56,6 @@
 
 func newDirect(w *world) *direct {
 	d := &direct{w: w, sizes: measureRaft(), rng: stream(w.spec.Seed, "raft"), feeds: make([]*feed, len(w.processes))}
-	d.last = &payload{size: d.sizes.answer, direct: appended{answer: true}}
 	return d
 }
 
--- a/internal/lab/scale/net.go
+++ b/internal/lab/scale/net.go
@@ -25,7 +25,6 @@
 type conn struct {
 	id               uint32
 	from, to         *process
-	fromLife, toLife uint32
 	stream           int
 	link, below      distribution.Link // its number at either end
 	closed           bool              // one side ended it, or both processes know that it has
@@ -59,7 +58,7 @@
 // dial opens a connection: one round trip for TCP, one for TLS. Nothing answers from beyond a cut or in a process that
 // stands still; one that is gone refuses.
 func (w *world) dial(from, to *process, stream int, link distribution.Link) *conn {
-	c := &conn{from: from, to: to, fromLife: from.life, toLife: to.life, stream: stream, link: link, id: uint32(len(w.conns))}
+	c := &conn{from: from, to: to, stream: stream, link: link, id: uint32(len(w.conns))}
 	w.conns = append(w.conns, c)
 	w.tape.write(tapeDial, stream, from.id, int(to.id), 0)
 	way := w.distance(from, to)
