--- a/internal/lab/capacity/finding.go
+++ b/internal/lab/capacity/finding.go
@@ -32,7 +32,7 @@
 		over.check(way.What, way.Takes(), way.Within, Figure.Milliseconds, "")
 		for _, fault := range way.Faults {
 			over.check(fmt.Sprintf("%s: %s", way.What, fault.What), way.Takes().Plus(fault.Adds()), way.Within, Figure.Milliseconds,
-				"past the bound strict classes hold (Gate, being built); FailoverOver and SilentFor shorter, or two subscriptions a process")
+				"past the bound strict classes hold (Gate, built here; the request path does not ask it yet); FailoverOver and SilentFor shorter, or two subscriptions a process")
 		}
 	}
 	m.boundFindings(&over)
@@ -58,7 +58,7 @@
 
 // mends are what brings a design's bytes down.
 var mends = [...]string{
-	AsIs: "distributors in place of raft to every process (being built)",
+	AsIs: "distributors in place of raft to every process (built here)",
 	Tree: "members and digests of one region, lists as changes (missing)",
 	Lean: "of a minute's burst nothing here: 870 purges a second are 34.8 KB/s by themselves",
 }
@@ -76,7 +76,7 @@
 			}
 			mend := mends[d]
 			if b.text(given(1e6)) == Figure.Core(given(1e6)) {
-				mend = "a purge that does not look through all others (decide/replica, being built)"
+				mend = "a purge that does not look through all others (decide/replica, built here)"
 			}
 			name := fmt.Sprintf("a proxy's %s, %s: ", b.name, d)
 			over.check(name+situations[0].Name, b.get(situations[0], d), b.of, b.text, m.largest(d, situations[0].Load)+"; "+mend)
@@ -99,7 +99,7 @@
 }
 
 func (m Fleet) machineFindings(over *findings) {
-	const between = "distributors in between (being built)"
+	const between = "distributors in between (built here)"
 	for _, s := range m.Situations()[:2] {
 		for _, d := range Designs {
 			leader := m.LeaderCost(d, s.Load).Sum()
@@ -133,7 +133,7 @@
 	over.check("a whole list as one entry (distribution.MostEntry)", m.At("replica/list-entry", given(m.Caches)), mostEntryBytes, Figure.Bytes,
 		"lists as changes, or by region, missing")
 	over.check("purges while two regions are apart, against what a distributor keeps to resume from", given(usual.Purges*m.ApartMs/1000), backlogEntries, count,
-		"a snapshot in their place, being built: it is smaller")
+		"a snapshot in their place, built here: it is smaller")
 	over.check("results of changes in 10 minutes of a burst (replica.mostDone)", given(burst.Purges*resultsFor), mostResults, count,
 		fmt.Sprintf("a change that comes again after %s s counts twice; purges need no result, as they are idempotent: missing", number(mostResults/burst.Purges)))
 	over.check("revisions of a day, against those kept for a rollback (replica.mostHistory)", given(usual.Revisions*day), mostRevisions, count,
--- a/internal/lab/capacity/page.go
+++ b/internal/lab/capacity/page.go
@@ -86,7 +86,7 @@
 	p.text("operators' letter or arithmetic on it. What is made of several has the weakest mark. KB are 1,000 bytes. Bytes are those on the")
 	p.text("wire, with heads of packets, sent and received together: the letter does not say which way its 17 KB/s count.\n")
 	p.text("Three designs: **as it is**, every process a member of the store without a vote, lists told whole, membership of all; **distribution**,")
-	p.text("levels of distributors between (being built), the rest as it is; **proposed**, the same with frames each 100 ms, a purge that does not")
+	p.text("levels of distributors between (built here), the rest as it is; **proposed**, the same with frames each 100 ms, a purge that does not")
 	p.text("look through all others, lists as changes of one's own region, members of one's own region, and digests to four of the zone and one")
 	p.text("elsewhere each 2 s.\n")
 }
@@ -207,7 +207,7 @@
 	p.text("could be older than the last watermark, others go on and are counted. Of the requests that need it 5 %% go to the origin, 20 a second")
 	p.text("for a process at most: %s a second from a region that is cut off, %s from the fleet while the store has no quorum. Whether an origin",
 		number(shieldPerS*p.Proxies/p.Regions), number(shieldPerS*p.Proxies))
-	p.text("bears that is not told: the bound has to be one for the fleet, missing. Both deciders are being built; the request path does not ask them yet.\n")
+	p.text("bears that is not told: the bound has to be one for the fleet, missing. Both deciders are built here; the request path does not ask them yet.\n")
 }
 
 func (p *page) way(way Path) {
--- a/internal/lab/capacity/situation.go
+++ b/internal/lab/capacity/situation.go
@@ -6,7 +6,7 @@
 // The standings.
 const (
 	Stands  Standing = "stands"
-	Built   Standing = "being built"
+	Built   Standing = "built here"
 	Missing Standing = "missing"
 )
 
