--- a/internal/lab/scale/commits.go
+++ b/internal/lab/scale/commits.go
@@ -46,11 +46,10 @@
 	grouped map[int64][]*committed // objects' purges that no later one of their group covers
 	index   uint64
 
-	rng      *rand.Rand
-	number   uint64 // of revisions
-	lists    []uint64
-	drained  map[int]bool
-	revision string
+	rng     *rand.Rand
+	number  uint64 // of revisions
+	lists   []uint64
+	drained map[int]bool
 }
 
 func newHistory(w *world) *history {
--- a/internal/lab/scale/direct.go
+++ b/internal/lab/scale/direct.go
@@ -17,7 +17,6 @@
 	leads *process
 	term  int
 	rng   *rand.Rand // of the pauses between heartbeats
-	last  *payload   // the acknowledgement, which is always alike
 }
 
 // feed is what the leader knows of one follower.
