Config: the operator's file sets up distribution, checked whole

A member of the store begins a tree and needs its epoch and an address; any other process needs keys and candidates of a lower rank. "strict" is refused with its place: what a process past its bound holds is not carried to the request path. The signed front is refused in a process that only subscribes, as spent tokens are not distributed.

--- /dev/null
+++ b/internal/config/distribution_test.go
@@ -0,0 +1,92 @@
+package config_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/config"
+)
+
+const rootText = `{
+  "store": {"name": "m1", "listen": "127.0.0.1:4300", "dir": "store", "identity": "keys", "peers": [{"name": "m1", "addr": "127.0.0.1:4300"}]},
+  "distribution": {
+    "epoch": 1, "listen": "127.0.0.1:4500"
+  }
+}`
+
+const distributorText = `{
+  "distribution": {
+    "name": "d1", "identity": "keys", "listen": "127.0.0.1:4501", "rank": 1, "zone": "east", "region": "th",
+    "upstream": [
+      {"name": "m1", "addr": "127.0.0.1:4500"},
+      {"name": "m2", "addr": "127.0.0.1:4502"}
+    ]
+  }
+}`
+
+// What is not told has its usual value, and a member of the store goes by the store's name and keys.
+func TestDistribution(t *testing.T) {
+	o, err := config.ParseOperator("/etc/o", []byte(rootText))
+	require.NoError(t, err)
+	d := o.Distribution
+	require.Equal(t, config.Distribution{
+		Name: "m1", Identity: "/etc/keys", Epoch: 1, Listen: "127.0.0.1:4500", MostLinks: 1024,
+		Heartbeat: 500, Silent: 1800, Bound: 6800, ClockBound: 250,
+	}, *d)
+	o, err = config.ParseOperator("/etc/o", []byte(distributorText))
+	require.NoError(t, err)
+	require.Equal(t, "/etc/keys", o.Distribution.Identity)
+	require.Len(t, o.Distribution.Upstream, 2)
+	leaf := strings.Replace(distributorText, `"listen": "127.0.0.1:4501", "rank": 1, `, `"heartbeat_ms": 5000, `, 1)
+	o, err = config.ParseOperator("/etc/o", []byte(leaf))
+	require.NoError(t, err)
+	require.Equal(t, 100, o.Distribution.Rank, "below any distributor")
+	require.Equal(t, []float64{15_000, 15_000}, []float64{o.Distribution.Silent, o.Distribution.Bound})
+	o, err = config.ParseOperator("/etc/o", []byte(`{}`))
+	require.NoError(t, err)
+	require.Nil(t, o.Distribution, "off unless it is asked for")
+}
+
+// Each change is refused with these lines.
+func TestDistributionRefused(t *testing.T) {
+	for _, c := range []struct{ text, from, to, want string }{
+		{rootText, `"epoch": 1, `, ``, "o:3:19: a member of the store needs epoch, from 1: the number of the store's history"},
+		{rootText, `"epoch": 1, "listen": "127.0.0.1:4500"`, `"epoch": 1`, "o:3:19: a member of the store needs listen: others subscribe there"},
+		{rootText, `"epoch": 1`, `"epoch": 1, "rank": 1`, "o:4:25: rank 1 is not 0 to 0"},
+		{rootText, `"epoch": 1`, `"epoch": 1, "name": "x"`, "o:4:25: a member of the store has no name of its own for distribution"},
+		{rootText, `"epoch": 1`, `"epoch": 1, "identity": "x"`, "o:4:29: a member of the store has no identity of its own for distribution"},
+		{rootText, `"epoch": 1`, `"epoch": 1, "upstream": []`, "o:4:29: a member of the store has no upstream of its own for distribution"},
+		{rootText, `"epoch": 1`, `"epoch": 1, "strict": ["asset"]`, "o:4:27: strict is not carried to the request path yet"},
+		{rootText, `"epoch": 1`, `"epoch": 1, "strict": []`, "o:4:27: strict is not carried to the request path yet"},
+		{rootText, `:4500"`, `"`, `o:4:27: listen "127.0.0.1" is not of the form 127.0.0.1:4100`},
+		{rootText, `"epoch": 1`, `"epoch": 1, "most_links": 1`, "o:4:31: most_links 1 is not 2 to 65536"},
+		{rootText, `"epoch": 1`, `"epoch": 1, "silent_ms": 100`, "o:4:30: silent_ms 100 is not 1500 to 86400000"},
+		{rootText, `"epoch": 1`, `"epoch": 1, "bound_ms": 100`, "o:4:29: bound_ms 100 is not 1800 to 86400000"},
+		{rootText, `"epoch": 1`, `"epoch": 1, "heartbeat_ms": 1`, "o:4:33: heartbeat_ms 1 is not 10 to 60000"},
+		{rootText, `"epoch": 1`, `"epoch": 1, "clock_bound_ms": -1`, "o:4:35: clock_bound_ms -1 is not 0 to 60000"},
+		{rootText, `"epoch": 1`, `"epoh": 1`, `o:4:5: unknown field "epoh"; did you mean "epoch"?`},
+		{distributorText, `"identity": "keys", `, ``, "o:2:19: distribution needs identity"},
+		{distributorText, `"rank": 1, `, ``, "o:2:19: a distributor needs rank: those that subscribe at it have a higher one"},
+		{distributorText, `"rank": 1`, `"rank": 101`, "o:3:75: rank 101 is not 1 to 100"},
+		{distributorText, `"rank": 1`, `"rank": 1, "epoch": 3`, "o:3:87: epoch is told by the members of the store"},
+		{distributorText, `:4502"`, `"`, `o:6:30: addr "127.0.0.1" is not of the form 127.0.0.1:4100`},
+		{distributorText, `"m2"`, `"m1"`, `o:6:16: distributor "m1" is empty, named twice or this process itself`},
+		{distributorText, `"m2"`, `"d1"`, `o:6:16: distributor "d1" is empty, named twice or this process itself`},
+		{distributorText, `"name": "m2"`, `"rank": 1, "name": "m2"`, `o:6:16: rank 1 of "m2" is not 0 to 0: this process has rank 1`},
+		{distributorText, `"upstream"`, `"strict": ["asset"], "upstream"`, "o:4:15: strict is not carried to the request path yet"},
+		{distributorText, `{
+  "dist`, `{"signed": {"audience": "x", "listen": "127.0.0.1:4200"},
+  "dist`, "o:1:12: signed goes with a member of the store: spent tokens are not distributed"},
+	} {
+		require.Contains(t, c.text, c.from)
+		_, err := config.ParseOperator("o", []byte(strings.Replace(c.text, c.from, c.to, 1)))
+		if assert.Error(t, err, c.to) {
+			assert.Contains(t, strings.Split(err.Error(), "\n"), c.want, c.to)
+		}
+	}
+	_, err := config.ParseOperator("o", []byte(`{"distribution": {"identity": "keys"}}`))
+	require.EqualError(t, err, "o:1:18: a process that is not a member of the store needs upstream: where it subscribes")
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -22,21 +22,22 @@
 // Operator is the file that sets up what is off on the platform, as JSON with comments. A part that is absent stays
 // off. With "proxy" it tells all that LB_CONFIG would, and the program runs without the platform.
 type Operator struct {
-	Proxy   *Proxy       `json:"proxy"`
-	Limits  *Limits      `json:"limits"`
-	Site    *Site        `json:"site"`
-	Classes []Class      `json:"classes"`
-	Servers *Servers     `json:"servers"`
-	Admin   *Admin       `json:"admin"`
-	State   *State       `json:"state"`
-	Log     Log          `json:"log"`
-	Signed  *Signed      `json:"signed"`
-	Store   Store        `json:"store"`
-	SNMP    *SNMP        `json:"snmp"`
-	Peers   *Peers       `json:"peers"`
-	Path    string       `json:"-"`
-	Keys    KeyRing      `json:"-"`
-	LogOpt  logs.Options `json:"-"`
+	Proxy        *Proxy        `json:"proxy"`
+	Limits       *Limits       `json:"limits"`
+	Site         *Site         `json:"site"`
+	Classes      []Class       `json:"classes"`
+	Servers      *Servers      `json:"servers"`
+	Admin        *Admin        `json:"admin"`
+	State        *State        `json:"state"`
+	Log          Log           `json:"log"`
+	Signed       *Signed       `json:"signed"`
+	Store        Store         `json:"store"`
+	SNMP         *SNMP         `json:"snmp"`
+	Peers        *Peers        `json:"peers"`
+	Distribution *Distribution `json:"distribution"`
+	Path         string        `json:"-"`
+	Keys         KeyRing       `json:"-"`
+	LogOpt       logs.Options  `json:"-"`
 }
 
 // KeyRing are the signing keys of a file, by their id.
@@ -239,6 +240,9 @@
 	if o.Peers != nil {
 		dirs = append(dirs, &o.Peers.Identity, &o.Peers.Dir)
 	}
+	if o.Distribution != nil {
+		dirs = append(dirs, &o.Distribution.Identity)
+	}
 	for _, dir := range dirs {
 		if *dir != "" && !filepath.IsAbs(*dir) {
 			*dir = filepath.Join(filepath.Dir(path), *dir)
@@ -377,6 +381,7 @@
 		}
 	}
 	o.checkStore(doc)
+	o.checkDistribution(doc)
 	if s := o.SNMP; s != nil {
 		c := checker{doc, "snmp"}
 		c.address("listen", s.Listen, false)
