Admin: GET /v1/distribution, and an answer for processes that are no member

A process that subscribes shows how both streams stand. What only a member of the store can do is refused there with 409 and one line, in place of "in force here, but not kept": nothing was done.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -26,6 +26,7 @@
 	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/decide/serverlist"
 	"ravenwheel/internal/decide/strict"
+	"ravenwheel/internal/distribution"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/peers"
 	"ravenwheel/internal/source/board"
@@ -69,8 +70,10 @@
 	State  *state.Keeper       // nil: nothing is kept
 	Store  *store.Store        // nil: none is set up
 	Peers  *peers.Peers        // nil: this process is alone
-	Shared Shared
-	Desk   Desk // nil: this proxy is not one to be emptied by hand
+	// Distribution tells how this process stands in the tree of distributors. nil: it is in none.
+	Distribution func() []distribution.Status
+	Shared       Shared
+	Desk         Desk // nil: this proxy is not one to be emptied by hand
 }
 
 // Desk is the proxy as a whole in operators' hands.
@@ -87,6 +90,9 @@
 	Push(file string, text []byte) (*serverlist.Set, error)
 }
 
+// ErrMember is the answer to what only a member of the store can do, in a process that subscribes: nothing was done.
+var ErrMember = errors.New("this process only hears what the store holds: tell a member of the store")
+
 // Admin serves operators.
 type Admin struct {
 	opt Options
@@ -144,6 +150,9 @@
 		mux.HandleFunc("POST /v1/peers", a.peer)
 		mux.HandleFunc("GET /v1/view", a.view)
 	}
+	if o.Distribution != nil {
+		mux.HandleFunc("GET /v1/distribution", func(w http.ResponseWriter, _ *http.Request) { reply(w, o.Distribution()) })
+	}
 	if o.Store != nil {
 		mux.HandleFunc("GET /v1/config", a.config)
 		mux.HandleFunc("POST /v1/config", a.configure)
@@ -239,7 +248,7 @@
 		return
 	}
 	if err := a.opt.Shared.Purge(q); err != nil {
-		http.Error(w, "in force here, but not kept: "+err.Error(), http.StatusInsufficientStorage)
+		notDone(w, "in force here, but not kept: ", err)
 		return
 	}
 	a.opt.Log.Info("purge").Str("object", q.Object).Int("group", q.Group).Msg("purged by hand")
@@ -298,13 +307,22 @@
 		drain = a.opt.Desk.Out // kept for a process that takes over, too
 	}
 	if err := drain(id, d.On); err != nil {
-		http.Error(w, "not kept: "+err.Error(), http.StatusInsufficientStorage)
+		notDone(w, "not kept: ", err)
 		return
 	}
 	a.opt.Log.Info("drain").Str("id", d.ID).Bool("on", d.On).Msg("drained or given back by hand")
 	reply(w, d)
 }
 
+// notDone tells what became of a call that failed: that it is to be made elsewhere, or what happened and why.
+func notDone(w http.ResponseWriter, what string, err error) {
+	if errors.Is(err, ErrMember) {
+		http.Error(w, ErrMember.Error(), http.StatusConflict)
+		return
+	}
+	http.Error(w, what+err.Error(), http.StatusInsufficientStorage)
+}
+
 // List is a server list that is pushed to all members.
 type List struct {
 	File string `json:"file"` // as its defects name it
