Distribution is wired: a member of the store is a root, any other process subscribes

Off unless the operator's file has it. Delivered facts go where a member's facts go, revisions to the same follower, which now takes a channel.

--- a/cmd/ravenwheel/alone_test.go
+++ b/cmd/ravenwheel/alone_test.go
@@ -134,7 +134,7 @@
 	}
 	c, err := core.New(conf.Settings, conf.Classes, 0, 7, clk, upstream.New(clk, upstream.Limits{}))
 	require.NoError(t, err)
-	src, err := startSources(o, conf, clk, nil, c, nil, nil, nil, nil)
+	src, err := startSources(o, conf, clk, nil, c, shared{}, nil, nil)
 	require.NoError(t, err)
 	t.Cleanup(src.close)
 	phases := func() string {
--- a/cmd/ravenwheel/lists_test.go
+++ b/cmd/ravenwheel/lists_test.go
@@ -102,7 +102,7 @@
 	r.core, err = core.New(conf.Settings, conf.Classes, conf.MostHeld, conf.Seed, r.clk, up)
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(r.path, []byte(r.fill(first)), 0o600))
-	r.src, err = startSources(o, conf, r.clk, nil, r.core, nil, nil, nil, nil)
+	r.src, err = startSources(o, conf, r.clk, nil, r.core, shared{}, nil, nil)
 	require.NoError(t, err)
 	t.Cleanup(r.src.close)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/cmd/ravenwheel/live_test.go
+++ b/cmd/ravenwheel/live_test.go
@@ -11,6 +11,7 @@
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/scenario"
 	"ravenwheel/internal/store"
@@ -66,3 +67,23 @@
 	require.False(t, ok, "keys that a revision does not name are dropped")
 	require.Equal(t, []uint64{1, st.Config().Number}, used)
 }
+
+// Without a store a revision that came by distributors is in force all the same; one that can't be used changes nothing, and
+// nobody here puts another in its place.
+func TestRevisionsWithoutStore(t *testing.T) {
+	p := scenario.NewProxy(t)
+	var out bytes.Buffer
+	log, err := logs.New(&out, logs.Options{Level: "error"}, p.Clock)
+	require.NoError(t, err)
+	var used []uint64
+	l := &live{
+		log: log, core: p.Core, up: p.Pools, conf: &config.Config{MostHeld: 4096, StreamsPerConn: 32, Connect: 400},
+		oper: &config.Operator{LogOpt: logs.Options{Level: "error"}}, used: func(n uint64) { used = append(used, n) },
+	}
+	good := `{"log": {"level": "info"}, "keys": {"k1": {"alg": "HS256", "key": "eA=="}}}`
+	l.apply(replica.Revision{Number: 1, Text: good})
+	l.apply(replica.Revision{Number: 2, Text: "{"})
+	require.Equal(t, good, l.good)
+	require.Equal(t, []uint64{1}, used)
+	require.Contains(t, out.String(), "a revision can't be used")
+}
--- a/cmd/ravenwheel/main.go
+++ b/cmd/ravenwheel/main.go
@@ -26,7 +26,7 @@
 	root.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM", Args: cobra.NoArgs, RunE: serve},
 		&cobra.Command{Use: "check", Short: "Read all that serve would and say whether it can be used", Args: cobra.NoArgs, RunE: check},
-		serversCommand(), configCommand(), purgeCommand(), stateCommand(), clusterCommand(), peersCommand(), viewCommand(),
+		serversCommand(), configCommand(), purgeCommand(), stateCommand(), clusterCommand(), peersCommand(), viewCommand(), distributionCommand(),
 		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), "ravenwheel", version)
 		}},
--- a/cmd/ravenwheel/operator.go
+++ b/cmd/ravenwheel/operator.go
@@ -19,7 +19,7 @@
 var operatorFile string
 
 // startOperator starts what the operator's file sets up. stop ends it once what is open has been answered.
-func startOperator(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, up *upstream.Pools, st *store.Store, src *sources) (stop func(context.Context), err error) {
+func startOperator(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, up *upstream.Pools, shared shared, src *sources) (stop func(context.Context), err error) {
 	var ends []func(context.Context)
 	stop = func(ctx context.Context) {
 		for i := len(ends) - 1; i >= 0; i-- {
@@ -40,13 +40,14 @@
 		go func() { _ = snmp.New(s.Community, snmp.Scalars(&c.Counters, up.Late.Load, conns)).Serve(pc) }()
 		ends = append(ends, func(context.Context) { pc.Close() })
 	}
-	follow := &live{store: st, log: log, core: c, up: up, conf: conf, oper: o}
+	st := shared.store
+	follow := &live{store: st, revisions: shared.revisions, log: log, core: c, up: up, conf: conf, oper: o}
 	if src.state != nil {
 		follow.used = src.state.Revised
 	}
 	s := o.Signed
 	if s == nil {
-		if st != nil {
+		if shared.revisions != nil {
 			go follow.run()
 		}
 		return stop, nil
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -15,11 +15,9 @@
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
-	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/desk"
 	"ravenwheel/internal/front/resp"
 	"ravenwheel/internal/logs"
-	"ravenwheel/internal/store"
 	"ravenwheel/internal/upstream"
 )
 
@@ -107,22 +105,11 @@
 	if talk != nil {
 		defer talk.Close()
 	}
-	var (
-		st    *store.Store
-		heard chan replica.Change
-		facts func(replica.Change)
-	)
-	if operator.Store.Name != "" {
-		// Made before the store opens: what it applies while this proxy starts is told, not passed over.
-		heard = make(chan replica.Change, 1024)
-		facts = func(c replica.Change) { heard <- c }
-	}
-	if operator.Store.Name != "" || operator.Signed != nil {
-		if st, err = operator.OpenStore(clk, facts); err != nil {
-			return err
-		}
-		defer st.Close()
+	shared, err := openShared(operator, conf, clk, log)
+	if err != nil {
+		return err
 	}
+	defer shared.close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	place, err := takePlace(conf, clk, log, stop)
@@ -130,7 +117,7 @@
 		return err
 	}
 	defer place.close()
-	src, err := startSources(operator, conf, clk, log, c, st, heard, talk, place)
+	src, err := startSources(operator, conf, clk, log, c, shared, talk, place)
 	if err != nil {
 		return err
 	}
@@ -139,7 +126,7 @@
 	if err != nil {
 		return err
 	}
-	stopOperator, err := startOperator(operator, conf, clk, log, c, up, st, src)
+	stopOperator, err := startOperator(operator, conf, clk, log, c, up, shared, src)
 	if err != nil {
 		return err
 	}
--- a/cmd/ravenwheel/shared.go
+++ b/cmd/ravenwheel/shared.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 
+	"ravenwheel/internal/admin"
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
@@ -25,12 +26,15 @@
 // Purge implements admin.Shared. It is in force here before it is kept, and kept before it is told: a crash in between
 // leaves a purge that nobody was told of.
 func (s *sources) Purge(p core.Purge) error {
+	if s.only {
+		return admin.ErrMember
+	}
 	s.core.Purged(p)
 	var err error
 	if s.state != nil {
 		err = s.state.Purged(recovery.Purge{Object: p.Object, Group: p.Group, Made: p.At, Told: p.At})
 	}
-	if s.shares() {
+	if s.member {
 		set := s.core.Settings()
 		until := p.At + 2*clock.Ms(set.PurgeTakes) + clock.Ms(set.PurgeNotice)
 		_, serr := s.store.Do(replica.Change{Kind: replica.SetPurge, Until: until, Purge: &replica.Purge{Object: p.Object, Group: p.Group, Made: p.At}})
@@ -44,7 +48,10 @@
 
 // Drain implements admin.Shared.
 func (s *sources) Drain(id policy.CacheID, on bool) error {
-	if !s.shares() {
+	switch {
+	case s.only:
+		return admin.ErrMember
+	case !s.member:
 		return s.drained(id, on)
 	}
 	kind := replica.EndDrain
@@ -65,7 +72,10 @@
 
 // Push implements admin.Shared.
 func (s *sources) Push(file string, text []byte) (*serverlist.Set, error) {
-	if !s.shares() {
+	switch {
+	case s.only:
+		return nil, admin.ErrMember
+	case !s.member:
 		return nil, errors.New("lists are pushed to a store, and none is set up")
 	}
 	d, bad := serverlist.Parse([]serverlist.File{{Name: file, Data: text}}, s.facts)
@@ -91,8 +101,6 @@
 // storeList is the name of the one list that the store holds.
 const storeList = "servers"
 
-func (s *sources) shares() bool { return s.heard != nil }
-
 // hears says where facts of the store go.
 func (s *sources) hears(at int, conf *config.Config, log *logs.Log) *facts.Options {
 	o := &facts.Options{
@@ -106,20 +114,21 @@
 
 // live applies revisions of the shared configuration: all of one or nothing.
 type live struct {
-	store  *store.Store
-	log    *logs.Log
-	core   *core.Core
-	up     *upstream.Pools
-	signed *signed.Front // nil: off
-	conf   *config.Config
-	oper   *config.Operator
-	good   string // the text in use
-	used   func(revision uint64)
+	store     *store.Store // nil: revisions come by distributors
+	revisions <-chan replica.Revision
+	log       *logs.Log
+	core      *core.Core
+	up        *upstream.Pools
+	signed    *signed.Front // nil: off
+	conf      *config.Config
+	oper      *config.Operator
+	good      string // the text in use
+	used      func(revision uint64)
 }
 
-// run follows the revisions as this member learns of them.
+// run follows the revisions as this process learns of them.
 func (l *live) run() {
-	for r := range l.store.Watch() {
+	for r := range l.revisions {
 		l.apply(r)
 	}
 }
@@ -129,8 +138,8 @@
 func (l *live) apply(r replica.Revision) {
 	x, err := config.ParseLive(fmt.Sprintf("revision %d", r.Number), r.Text)
 	if err != nil {
-		l.log.Error("config").Err(err).Uint64("revision", r.Number).Msg("a revision can't be used: the one before it stays, and is put back")
-		if l.good != "" {
+		l.log.Error("config").Err(err).Uint64("revision", r.Number).Msg("a revision can't be used: the one before it stays, and a member of the store puts it back")
+		if l.good != "" && l.store != nil {
 			if _, err := l.store.SetConfig(r.Number, l.good, "put back"); err != nil && !errors.Is(err, store.ErrConflict) {
 				l.log.Error("config").Err(err).Msg("the revision before it could not be put back")
 			}
@@ -160,7 +169,7 @@
 		}
 		l.signed.SetLeeway(leeway)
 	}
-	if x.Ring != nil && l.store.Leader() {
+	if x.Ring != nil && l.store != nil && l.store.Leader() {
 		l.changeKeys(x.Ring)
 	}
 	if l.good = r.Text; l.used != nil {
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -14,7 +14,6 @@
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/decide/recovery"
-	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/decide/serverlist"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/peers"
@@ -53,15 +52,16 @@
 	clk    *clock.Clock
 	names  *names.Cache
 	facts  serverlist.Facts
-	heard  chan replica.Change // facts of the store, in order
+	member bool // of the store: what operators do goes to all of its members
+	only   bool // it hears what the store holds and is no member: what operators do there is done at one
 }
 
-// startSources takes in what is known at the start, and follows what comes later: heard brings the facts of the store,
-// from before it opened (nil: none is shared). talk is this process among its peers (nil: alone), at what the process
-// before it has passed on, and what operators empty (nil: neither).
-func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, st *store.Store,
-	heard chan replica.Change, talk *peers.Peers, at *place) (*sources, error) {
-	s := &sources{store: st, core: c, conf: conf, clk: clk, names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
+// startSources takes in what is known at the start, and follows what comes later: shared brings the facts of the store,
+// from before it opened. talk is this process among its peers (nil: alone), at what the process before it has passed on,
+// and what operators empty (nil: neither).
+func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, shared shared,
+	talk *peers.Peers, at *place) (*sources, error) {
+	s := &sources{store: shared.store, member: shared.member(o), only: shared.only(o), core: c, conf: conf, clk: clk, names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
 	s.facts = conf.Facts(0)
 	set := membership.Settings{}
 	fileAt, storeAt, boardAt := -1, -1, -1
@@ -70,7 +70,7 @@
 		set.Sources = append(set.Sources, membership.Source{Name: filepath.Base(l.Path)})
 		set.DropDrain, set.GoneFor, set.WeightStep, set.WeightEvery = l.Drain, l.Remember, l.WeightStep, l.WeightEvery
 	}
-	if st != nil && o.Store.Name != "" {
+	if s.member || s.only {
 		storeAt = len(set.Sources)
 		set.Sources = append(set.Sources, membership.Source{Name: "store"})
 		if o.Servers == nil {
@@ -144,7 +144,10 @@
 		}
 	}
 	if o.Admin != nil {
-		a := admin.Options{Listen: o.Admin.Listen, Clock: clk, Log: log, Names: conf.Names, Core: c, Views: s.roster.Views, State: s.state, Store: st, Shared: s, Peers: talk}
+		a := admin.Options{Listen: o.Admin.Listen, Clock: clk, Log: log, Names: conf.Names, Core: c, Views: s.roster.Views, State: s.state, Store: shared.store, Shared: s, Peers: talk}
+		if shared.node != nil {
+			a.Distribution = shared.node.Status
+		}
 		if at != nil {
 			a.Desk = at.desk
 		}
@@ -157,10 +160,9 @@
 		}
 		go s.admin.Serve()
 	}
-	if storeAt >= 0 && heard != nil {
+	if storeAt >= 0 {
 		// After what was kept before the restart: a drain that the store ended meanwhile is ended here too.
-		s.heard = heard
-		go s.hears(storeAt, conf, log).Run(heard)
+		go s.hears(storeAt, conf, log).Run(shared.heard)
 	}
 	if s.board != nil {
 		go s.board.Run(context.Background()) // also while stopping: the rules go on
