Front: connections are cut off for those that come, and not as many leave at once

Cause: since a crowd's connections are cut off one for each, any that left beyond one in eight places were cut off too, as a proxy is emptied or replaced: with requests crossing the end of their connection, turned back unheard. Now one is cut off only for one that is admitted beyond the bound. TestManyLeaveAtOnce fails without it: 3 of 16 were left.

--- a/internal/front/resp/leave_test.go
+++ b/internal/front/resp/leave_test.go
@@ -162,3 +162,26 @@
 	f.closeCut()
 	<-accepts
 }
+
+// All connections leave at once, as the proxy is emptied, and nobody wants their places: none is cut off, or a request that
+// crosses the end of its connection would be turned back unheard.
+func TestManyLeaveAtOnce(t *testing.T) {
+	const most = 16
+	f := &Front{clock: clock.Manual(0), core: &counts{}, conns: map[*guard]struct{}{}}
+	f.most.Store(most)
+	var held atomic.Int64
+	for range most {
+		held.Add(1)
+		_, ok := f.admit(&stays{held: &held})
+		require.True(t, ok)
+	}
+	f.mu.Lock()
+	for g := range f.conns {
+		require.True(t, g.leave())
+		f.end(g)
+	}
+	f.mu.Unlock()
+	f.closeCut()
+	require.EqualValues(t, most, held.Load())
+	require.Len(t, f.leaving, most)
+}
--- a/internal/front/resp/places.go
+++ b/internal/front/resp/places.go
@@ -72,9 +72,13 @@
 	defer f.closeCut()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.conns)-len(f.leaving) >= int(f.most.Load()) && !f.shed() {
+	most := int(f.most.Load())
+	if len(f.conns)-len(f.leaving) >= most && !f.shed() {
 		return nil, false
 	}
+	if len(f.leaving) > 0 && len(f.conns) > most+most/leavingShare {
+		f.cutOff(f.leaving[0]) // it has had the longest to end by itself
+	}
 	f.conns[g] = struct{}{}
 	return g, true
 }
@@ -116,12 +120,6 @@
 // taken yet would be thrown away, and a request that crosses the close would look lost. Called under the front's lock.
 func (f *Front) end(g *guard) {
 	f.leaving = append(f.leaving, g)
-	for len(f.leaving) > 1+int(f.most.Load())/leavingShare {
-		longest := f.leaving[0] // it has had the longest to end by itself
-		if longest.forget() {
-			f.cut = append(f.cut, longest)
-		}
-	}
 	go func() {
 		if half, ok := g.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
 			f.clock.After(lingerFor, g.shut)
@@ -131,6 +129,14 @@
 	}()
 }
 
+// cutOff ends a connection that leaves, for one that comes: nobody else takes its place, so that none is cut off where all
+// leave at once, as the proxy is emptied. Called under the front's lock.
+func (f *Front) cutOff(g *guard) {
+	if g.forget() {
+		f.cut = append(f.cut, g)
+	}
+}
+
 // closeCut closes the sockets of connections that were cut off. Whoever may have cut some off calls it, once the front's lock
 // is free again and before anything else. Guards against a crowd that comes faster than other goroutines run: the next
 // connection is not accepted before the descriptor of the one that made room for it has been given back.
