--- /dev/null
+++ b/cmd/ravenwheel/stepped_test.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/scenario"
+)
+
+// The environment of a program whose wall clock steps: by so many seconds, so many ms after its start.
+const (
+	steppedBy    = "RAVENWHEEL_TEST_STEP_S"
+	steppedAfter = "RAVENWHEEL_TEST_STEP_AFTER_MS"
+)
+
+// buildStepped builds the program with a wall clock that steps as its environment says, while its monotonic clock runs on:
+// the toolchain's own time.go is overlaid in this build by a copy whose Now does so. Nothing of it is in the product.
+func buildStepped(t *testing.T) string {
+	root, err := exec.Command("go", "env", "GOROOT").Output()
+	require.NoError(t, err)
+	original := filepath.Join(strings.TrimSpace(string(root)), "src", "time", "time.go")
+	text, err := os.ReadFile(original)
+	require.NoError(t, err)
+	const now, imports = "\tsec, nsec, mono := runtimeNow()\n\tif mono == 0 {", "import (\n"
+	stepped := strings.Replace(string(text), now, "\tsec, nsec, mono := runtimeNow()\n\tif mono-startNano >= stepAfter {\n\t\tsec += stepBy\n\t}\n\tif mono == 0 {", 1)
+	require.NotEqual(t, string(text), stepped, "time.Now of this toolchain has another form")
+	stepped = strings.Replace(stepped, imports, imports+"\t\"syscall\"\n", 1)
+	stepped += fmt.Sprintf(`
+var (
+	stepBy    = int64(stepNumber(%q))
+	stepAfter = int64(stepNumber(%q)) * 1_000_000
+)
+
+func stepNumber(name string) int {
+	s, _ := syscall.Getenv(name)
+	n, _ := atoi(s)
+	return n
+}
+`, steppedBy, steppedAfter)
+	dir := t.TempDir()
+	copied, overlay, bin := filepath.Join(dir, "time.go"), filepath.Join(dir, "overlay.json"), filepath.Join(dir, "ravenwheel")
+	require.NoError(t, os.WriteFile(copied, []byte(stepped), 0o600))
+	raw, err := json.Marshal(map[string]any{"Replace": map[string]string{original: copied}})
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(overlay, raw, 0o600))
+	out, err := exec.Command("go", "build", "-overlay", overlay, "-o", bin, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return bin
+}
+
+// replies answers for a cache server and keeps what it was asked: everything is turned away while it is full.
+type replies struct {
+	full  atomic.Bool
+	mu    sync.Mutex
+	asked map[string]string // fields by id
+	came  map[string]time.Time
+}
+
+func (r *replies) serve(t *testing.T, cache *scenario.Server) {
+	r.asked, r.came = map[string]string{}, map[string]time.Time{}
+	for t.Context().Err() == nil {
+		words, err := cache.Receive()
+		if err != nil || len(words) < 3 || words[0] != "fetch" {
+			continue
+		}
+		r.mu.Lock()
+		r.asked[words[1]], r.came[words[1]] = words[2], time.Now()
+		r.mu.Unlock()
+		if r.full.Load() {
+			_ = cache.Send([]string{words[1], "overload", "why=turned_away", ""})
+		} else {
+			_ = cache.Send([]string{words[1], "served", "why=local,version=v1", "BYTES"})
+		}
+	}
+}
+
+// ask sends the n-th request of a client and returns the word of its answer.
+func ask(t *testing.T, c *scenario.Client, n int) string {
+	require.NoError(t, c.Send([]string{"RPC.CALL", strconv.Itoa(n), "asset",
+		fmt.Sprintf("rid=%016x,budget=60000,obj=%016x,nth=0,batch=17", n, n)}))
+	words, err := c.Receive()
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(words), 2, words)
+	return words[1]
+}
+
+// The machine's wall clock steps under a whole process, back and forward, by seconds and by an hour, just after a server has
+// said that it is full. What is served goes on as if nothing had happened, and a purge that is told then binds: the copy that
+// will do is younger than the purge.
+func TestWallClockStepped(t *testing.T) {
+	const after = 1500 * time.Millisecond
+	bin := buildStepped(t)
+	newer := regexp.MustCompile(`,newer=(\d+)`)
+	for _, by := range []int{-3600, 3600, -7, 7} {
+		t.Run(fmt.Sprintf("%d s", by), func(t *testing.T) {
+			t.Parallel()
+			cache, board, listen := scenario.Listen(t), listenBoard(t), freeAddr(t)
+			answers := &replies{}
+			go answers.serve(t, cache)
+			cmd := exec.Command(bin)
+			cmd.Env = append(os.Environ(), "LB_CONFIG="+configFile(t, listen, board.Addr().String(), cache.Addr()),
+				fmt.Sprintf("%s=%d", steppedBy, by), fmt.Sprintf("%s=%d", steppedAfter, after.Milliseconds()))
+			logs := &strings.Builder{}
+			cmd.Stderr = logs
+			require.NoError(t, cmd.Start())
+			started := time.Now()
+			defer func() { _ = cmd.Process.Kill() }()
+			watch, err := board.Accept()
+			require.NoError(t, err)
+			defer watch.Close()
+			require.Eventually(t, func() bool { there, err := served(listen); return there && err == nil }, time.Minute, 5*time.Millisecond)
+			c := scenario.Dial(t, listen)
+			n := 0
+			answers.full.Store(true)
+			for time.Since(started) < after+500*time.Millisecond {
+				n++
+				require.Contains(t, []string{"ok", "full"}, ask(t, c, n))
+				time.Sleep(10 * time.Millisecond)
+			}
+			answers.full.Store(false)
+			time.Sleep(300 * time.Millisecond) // longer than one that was full is passed over
+			refused := 0
+			for range 200 {
+				n++
+				if ask(t, c, n) != "ok" {
+					refused++
+				}
+			}
+			require.Zero(t, refused, "of 200 requests after the step")
+
+			purged := time.Now().UnixMilli()
+			frame := binary.BigEndian.AppendUint32(nil, 9+10)
+			frame = append(binary.BigEndian.AppendUint64(frame, 2), 4)
+			frame = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint16(frame, 17), uint64(purged))
+			_, err = watch.Write(frame)
+			require.NoError(t, err)
+			time.Sleep(1100 * time.Millisecond) // the time to heed it
+			n++
+			require.Equal(t, "ok", ask(t, c, n))
+			id := fmt.Sprintf("%016x", n)
+			answers.mu.Lock()
+			fields, came := answers.asked[id], answers.came[id]
+			answers.mu.Unlock()
+			age := newer.FindStringSubmatch(fields)
+			require.NotNil(t, age, "the purge is not heeded: %s", fields)
+			ms, err := strconv.ParseInt(age[1], 10, 64)
+			require.NoError(t, err)
+			require.Greater(t, came.UnixMilli()-ms, purged, "a copy from before the purge would do: %s", fields)
+			require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+			require.NoError(t, cmd.Wait(), logs.String())
+		})
+	}
+}
