Frames of attempts are made as their first byte goes out, with the time that is left then

A frame was made at the decision and written up to 0.5 s later: behind a dial, a redial, a blocked socket or a queue, ttl told more than the client had left (1000 with 580 left). core.Attempt carries when its time is up in place of a span; upstream makes the frame in push, under the lock and with the time of the write, and rounds down where it rounded up (TestFrame's 1499.2 was told as 1500).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,7 +62,7 @@
 	Body   []byte
 	To     policy.CacheID
 	Source policy.CacheID // To itself: no fill
-	TTL    float64        // ms
+	Until  float64        // ms on the clock: its time is up then. What is left is computed as its first byte goes out
 	Age    float64        // ms; 0: the class's fresh time
 	Keep   int
 	How    policy.How
@@ -394,7 +394,7 @@
 	}
 	a.abort = c.up.Send(Attempt{
 		ID: l.q.ID, Class: c.classes[l.q.Class], Object: l.q.Object, Part: l.q.Part, Holds: l.q.Holds, Key: l.q.Key,
-		Body: l.q.Body, To: g.Cache, Source: g.Source, TTL: ttl, Age: clock.Ms(g.Age), Keep: g.Keep, How: g.How,
+		Body: l.q.Body, To: g.Cache, Source: g.Source, Until: now + ttl, Age: clock.Ms(g.Age), Keep: g.Keep, How: g.How,
 		SendBy: sendBy, Once: class.Effect == policy.Unsafe,
 	}, func(e End) { l.in <- ended{no, e} })
 }
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -160,7 +160,7 @@
 		{Result: policy.Full, Sent: true}, {Result: policy.Full, Note: policy.NoteNoPlace, Sent: true}, {Result: policy.Failed, Sent: true},
 		{Result: policy.Miss, Note: policy.NoteSourceLost, Sent: true}, {Result: policy.ConnectFailed}, {Result: policy.Reset, Sent: true}, {Result: policy.Moot},
 	}
-	e, wait := ends[w.rng.IntN(len(ends))], w.rng.Float64()*1.2*a.TTL
+	e, wait := ends[w.rng.IntN(len(ends))], w.rng.Float64()*1.2*(a.Until-w.clock.Now())
 	switch w.rng.IntN(4) {
 	case 0: // never
 		return func() bool { return true }
--- a/internal/core/separate_test.go
+++ b/internal/core/separate_test.go
@@ -22,7 +22,7 @@
 
 func (n *notes) Send(a core.Attempt, end func(core.End)) func() bool {
 	n.list = append(n.list, fmt.Sprintf("%+v", core.Attempt{
-		ID: a.ID, Class: a.Class, Object: a.Object, Holds: a.Holds, Key: a.Key, To: a.To, Source: a.Source, TTL: a.TTL, Age: a.Age,
+		ID: a.ID, Class: a.Class, Object: a.Object, Holds: a.Holds, Key: a.Key, To: a.To, Source: a.Source, Until: a.Until, Age: a.Age,
 		Keep: a.Keep, How: a.How, SendBy: a.SendBy, Once: a.Once,
 	}))
 	go end(n.end)
--- a/internal/scenario/proxy.go
+++ b/internal/scenario/proxy.go
@@ -74,7 +74,7 @@
 // Send implements Actor.
 func (a *Attempts) Send(words []string) error {
 	a.to.Send(core.Attempt{
-		ID: words[0], Class: "asset", Object: "o", To: CacheID, Source: CacheID, TTL: 1000, Once: len(words) > 1,
+		ID: words[0], Class: "asset", Object: "o", To: CacheID, Source: CacheID, Until: a.to.Clock().Now() + 1000, Once: len(words) > 1,
 	}, func(e core.End) {
 		a.sent.Store(e.Sent)
 		a.in <- message{words: []string{words[0], results[e.Result]}}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -16,15 +16,10 @@
 	"ravenwheel/policy"
 )
 
-// call is one attempt or probe on its way. Its connection's lock guards its state.
+// call is one attempt on its way. Its connection's lock guards its state. Its frame is made as it is written: what the frame
+// says of time holds for its first byte.
 type call struct {
-	id      string
-	to      policy.CacheID
-	frame   []byte
-	sendBy  float64 // Unix ms; 0: any time
-	alone   bool    // may not be repeated: no read may end its connection
-	ttl     float64
-	expired policy.Result
+	attempt core.Attempt
 	end     func(core.End)
 
 	once    sync.Once
@@ -111,14 +106,14 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	l, now := k.pool.all.limits.Load(), k.pool.all.clock.Now()
-	if k.closed || len(k.open) >= l.PerConn || !k.ids.add(c.id, now, l.Life) {
+	if k.closed || len(k.open) >= l.PerConn || !k.ids.add(c.attempt.ID, now, l.Life) {
 		return false
 	}
 	k.used = now
 	if len(k.open) == 0 {
 		k.quiet = k.used
 	}
-	k.open[c.id] = c
+	k.open[c.attempt.ID] = c
 	k.queue = append(k.queue, c)
 	k.signal()
 	return true
@@ -134,14 +129,14 @@
 		return written
 	}
 	c.over = true
-	delete(k.open, c.id)
+	delete(k.open, c.attempt.ID)
 	result := policy.Moot
 	if c.written {
-		result = c.expired
+		result = policy.TimedOut
 		if k.given++; k.given >= mostGiven {
 			k.closed = true
 		}
-		k.aborts = append(k.aborts, c.id)
+		k.aborts = append(k.aborts, c.attempt.ID)
 		// Guards against a machine that vanished: its connections stay open and silent, and a trial over
 		// one would find it dead after it is back. No answer since the call was sent: no new calls here.
 		if timeout && k.heard < c.sent {
@@ -176,7 +171,7 @@
 	late := !c.over && !c.written && k.nc != nil
 	if late {
 		c.over = true
-		delete(k.open, c.id)
+		delete(k.open, c.attempt.ID)
 	}
 	k.mu.Unlock()
 	if late {
@@ -286,7 +281,7 @@
 		k.out = append(k.out[:0], k.rest...)
 		ends := []int{len(k.out)}
 		for _, c := range k.queue {
-			k.out = append(k.out, c.frame...)
+			k.out = appendFrame(k.out, &c.attempt, now)
 			ends = append(ends, len(k.out))
 		}
 		for _, id := range k.aborts {
@@ -316,9 +311,9 @@
 // drop takes from the queue what is not to be written any more.
 func (k *conn) drop(now float64) {
 	k.queue = slices.DeleteFunc(k.queue, func(c *call) bool {
-		if !c.over && c.sendBy > 0 && now > c.sendBy {
+		if sendBy := c.attempt.SendBy; !c.over && sendBy > 0 && now > sendBy {
 			c.over = true
-			delete(k.open, c.id)
+			delete(k.open, c.attempt.ID)
 			go c.finish(core.End{Result: policy.Moot})
 		}
 		return c.over
@@ -338,7 +333,7 @@
 			k.queue = slices.Delete(k.queue, 0, i)
 			return
 		}
-		c.written, c.sent, c.frame = true, now, nil
+		c.written, c.sent, c.attempt.Body = true, now, nil
 		if n < ends[i+1] {
 			k.rest, k.partly = k.out[n:ends[i+1]], c
 			k.queue = slices.Delete(k.queue, 0, i+1)
--- a/internal/upstream/ends_test.go
+++ b/internal/upstream/ends_test.go
@@ -97,7 +97,7 @@
 
 // send starts an attempt with so much time and a body of so many bytes, which may be written within sendBy ms (0: at any time).
 func (b *blocked) send(id string, ttl, sendBy float64, size int) {
-	a := core.Attempt{ID: id, To: scenario.CacheID, TTL: ttl, Body: []byte(strings.Repeat("x", size))}
+	a := core.Attempt{ID: id, To: scenario.CacheID, Until: b.clk.Now() + ttl, Body: []byte(strings.Repeat("x", size))}
 	if sendBy > 0 {
 		a.SendBy = b.clk.Now() + sendBy
 	}
@@ -144,9 +144,9 @@
 	}})
 	ends := make(chan policy.Result, 3)
 	end := func(e core.End) { ends <- e.Result }
-	left := pools.Send(core.Attempt{ID: "left", To: scenario.CacheID, TTL: 5000}, end)
-	pools.Send(core.Attempt{ID: "old", To: scenario.CacheID, TTL: 5000, SendBy: 500}, end)
-	pools.Send(core.Attempt{ID: "over", To: scenario.CacheID, TTL: 800}, end)
+	left := pools.Send(core.Attempt{ID: "left", To: scenario.CacheID, Until: 5000}, end)
+	pools.Send(core.Attempt{ID: "old", To: scenario.CacheID, Until: 5000, SendBy: 500}, end)
+	pools.Send(core.Attempt{ID: "over", To: scenario.CacheID, Until: 800}, end)
 	require.False(t, left())
 	clk.Advance(1000)
 	require.Equal(t, policy.Moot, <-ends, "over: its time is up, and it never ran")
@@ -230,7 +230,7 @@
 	}})
 	ends := make(chan core.End, 2)
 	for _, id := range []string{"r1", "r2"} {
-		pools.Send(core.Attempt{ID: id, To: scenario.CacheID, TTL: 60_000}, func(e core.End) { ends <- e })
+		pools.Send(core.Attempt{ID: id, To: scenario.CacheID, Until: 60_000}, func(e core.End) { ends <- e })
 		scenario.Run(t, clk, map[string]scenario.Actor{"s": cache}, "s expect fetch * * -")
 	}
 	sent := int64(0)
--- a/internal/upstream/push_test.go
+++ b/internal/upstream/push_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"regexp"
 	"strings"
 	"syscall"
 	"testing"
@@ -16,6 +17,16 @@
 	"ravenwheel/policy"
 )
 
+// farOff is when the attempts' time is up: their frames are of one length, whenever they are written.
+const farOff = 500_000
+
+var leftTime = regexp.MustCompile(`ttl=\d*`)
+
+// timeless is what was written with the digits of all times that are left made equal.
+func timeless(b []byte) string {
+	return leftTime.ReplaceAllStringFunc(string(b), func(s string) string { return "ttl=" + strings.Repeat("0", len(s)-len("ttl=")) })
+}
+
 // A socket takes any number of bytes at a time or none, while calls come, are given up and become too old. What arrives are
 // whole frames, each call's once at the most and each abort's behind its call's; none whose call ended before its first byte
 // was out, and all that are still open in the end; and who was told that its call never ran did not see it run.
@@ -40,25 +51,26 @@
 		order := []string{}
 		frames := map[string]string{}
 		begun := func(c *call) bool {
-			f := frames[c.id]
+			f, out := frames[c.attempt.ID], timeless(wire)
 			for n := 1; n < len(f); n++ {
-				if strings.HasSuffix(string(wire), f[:n]) {
+				if strings.HasSuffix(out, f[:n]) {
 					return true // in the middle of it, or of one that begins alike
 				}
 			}
-			return strings.Contains(string(wire), f)
+			return strings.Contains(out, f)
 		}
-		written := map[string]bool{}
+		written, wroteAt := map[string]bool{}, map[string]float64{}
 		check := func() {
 			for _, c := range calls {
-				require.Equal(t, c.written && !c.over, c.written && k.open[c.id] == c)
-				if c.written && !written[c.id] {
-					written[c.id] = true
-					require.True(t, begun(c), "%s is booked, and no byte of it is out", c.id)
-					require.False(t, c.sendBy > 0 && clk.Now() > c.sendBy, "%s went out too late", c.id)
+				require.Equal(t, c.written && !c.over, c.written && k.open[c.attempt.ID] == c)
+				id := c.attempt.ID
+				if c.written && !written[id] {
+					written[id], wroteAt[id] = true, clk.Now()
+					require.True(t, begun(c), "%s is booked, and no byte of it is out", id)
+					require.False(t, c.attempt.SendBy > 0 && clk.Now() > c.attempt.SendBy, "%s went out too late", id)
 				}
 				if !c.written {
-					require.NotContains(t, string(wire), frames[c.id], "%s went out, and is not booked", c.id)
+					require.NotContains(t, timeless(wire), frames[id], "%s went out, and is not booked", id)
 				}
 			}
 		}
@@ -66,13 +78,12 @@
 			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0, 1:
 				id := fmt.Sprint("call", len(calls))
-				c := &call{id: id, end: func(e core.End) { ended <- id }, expired: policy.TimedOut}
-				c.frame = frame(core.Attempt{ID: id, Class: "asset", Object: "o", TTL: 1000})
+				c := &call{attempt: core.Attempt{ID: id, Class: "asset", Object: "o", Until: farOff}, end: func(e core.End) { ended <- id }}
 				if rapid.Bool().Draw(t, "ages") {
-					c.sendBy = clk.Now() + 50
+					c.attempt.SendBy = clk.Now() + 50
 				}
 				require.True(t, k.take(c))
-				calls[id], frames[id] = c, string(c.frame)
+				calls[id], frames[id] = c, timeless(appendFrame(nil, &c.attempt, clk.Now()))
 				order = append(order, id)
 			case 2:
 				if len(order) == 0 {
@@ -81,7 +92,7 @@
 				c := calls[rapid.SampledFrom(order).Draw(t, "left")]
 				if !c.over {
 					require.Equal(t, c.written, k.giveUp(c, false))
-					begunAtEnd[c.id] = c.written
+					begunAtEnd[c.attempt.ID] = c.written
 				}
 			case 3:
 				clk.Advance(rapid.Float64Range(0, 40).Draw(t, "ms"))
@@ -107,6 +118,7 @@
 			switch id := string(parts[1]); string(parts[0]) {
 			case "fetch":
 				require.False(t, fetched[id], "%s was sent twice", id)
+				require.Contains(t, string(parts[2]), fmt.Sprintf(",ttl=%d", int(farOff-wroteAt[id])), "the time left as the first byte went out")
 				fetched[id] = true
 			case "abort":
 				require.True(t, fetched[id], "an abort of what was never sent: %s", id)
@@ -142,7 +154,7 @@
 		}
 		p.pool(1).conns = []*conn{k}
 		ends := make(chan core.End, 1)
-		p.Send(core.Attempt{ID: "r1", To: 1, TTL: 5000, SendBy: 500}, func(e core.End) { ends <- e })
+		p.Send(core.Attempt{ID: "r1", To: 1, Until: 5000, SendBy: 500}, func(e core.End) { ends <- e })
 		clk.Advance(499)
 		require.Empty(t, ends)
 		clk.Advance(1)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -73,6 +73,9 @@
 	p.limits.Store(&l)
 }
 
+// Clock is what the attempts' times are read on.
+func (p *Pools) Clock() *clock.Clock { return p.clock }
+
 func key(id policy.CacheID) []byte { return binary.BigEndian.AppendUint64(nil, uint64(id)) }
 
 // Members tells where cache servers are. One that is gone, or has moved, loses its idle connections; what
@@ -128,10 +131,7 @@
 
 // Send starts an attempt; see core.Upstream.
 func (p *Pools) Send(a core.Attempt, end func(core.End)) (abort func() bool) {
-	return p.start(&call{
-		id: a.ID, to: a.To, frame: frame(a), sendBy: a.SendBy, ttl: a.TTL, expired: policy.TimedOut, end: end,
-		alone: a.Once,
-	})
+	return p.start(&call{attempt: a, end: end})
 }
 
 const (
@@ -146,16 +146,17 @@
 // start puts a call on a connection and its time-out on the clock.
 func (p *Pools) start(c *call) (abort func() bool) {
 	var conn *conn
-	if pl := p.pool(c.to); pl != nil {
+	if pl := p.pool(c.attempt.To); pl != nil {
 		conn = pl.place(c)
 	}
 	if conn == nil { // it has left the list since, or all connections are taken: the module chooses anew
 		go c.finish(core.End{Result: policy.Moot})
 		return func() bool { c.forget(); return false }
 	}
-	stop, stale := p.clock.After(c.ttl, func() { conn.giveUp(c, true) }), func() {}
-	if left := c.sendBy - p.clock.Now(); c.sendBy > 0 && left < c.ttl {
-		stale = p.clock.After(left, func() { conn.overdue(c) })
+	now, until, sendBy := p.clock.Now(), c.attempt.Until, c.attempt.SendBy
+	stop, stale := p.clock.After(until-now, func() { conn.giveUp(c, true) }), func() {}
+	if sendBy > 0 && sendBy < until {
+		stale = p.clock.After(sendBy-now, func() { conn.overdue(c) })
 	}
 	return func() bool {
 		stop()
@@ -169,7 +170,8 @@
 // may not be repeated goes over connections of its own.
 func (pl *pool) place(c *call) *conn {
 	part, most := usualPart, pl.all.limits.Load().Conns-aloneConns
-	if c.alone {
+	alone := c.attempt.Once
+	if alone {
 		part, most = 1, aloneConns
 	}
 	pl.mu.Lock()
@@ -177,7 +179,7 @@
 	var own []*conn
 	loads := map[*conn]int{}
 	for _, k := range pl.conns {
-		if n, ok := k.load(); ok && k.alone == c.alone {
+		if n, ok := k.load(); ok && k.alone == alone {
 			own = append(own, k)
 			loads[k] = n
 		}
@@ -195,7 +197,7 @@
 	if !room {
 		return nil
 	}
-	k := newConn(pl, c.alone)
+	k := newConn(pl, alone)
 	k.take(c)
 	pl.conns = append(pl.conns, k)
 	go k.run()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -171,7 +171,7 @@
 	actors := map[string]scenario.Actor{"up": scenario.Attempt(pools), "s": cache}
 	for i := range 300 {
 		id := fmt.Sprint("r", i)
-		abort := pools.Send(core.Attempt{ID: id, To: scenario.CacheID, TTL: 1000}, func(e core.End) {
+		abort := pools.Send(core.Attempt{ID: id, To: scenario.CacheID, Until: pools.Clock().Now() + 1000}, func(e core.End) {
 			t.Errorf("%s ended: %+v", id, e)
 		})
 		scenario.Run(t, clk, actors, "s expect fetch * * -")
@@ -324,7 +324,7 @@
 	require.Eventually(t, func() bool { return pools.Conns() == 0 }, time.Minute, time.Millisecond)
 	dials.Store(0)
 	for i := range 200 {
-		pools.Send(core.Attempt{ID: fmt.Sprint("r", i), To: scenario.CacheID, TTL: 1000}, func(core.End) {})
+		pools.Send(core.Attempt{ID: fmt.Sprint("r", i), To: scenario.CacheID, Until: pools.Clock().Now() + 1000}, func(core.End) {})
 	}
 	require.LessOrEqual(t, pools.Conns(), 6, "two more are for what may not be repeated")
 }
--- a/internal/upstream/wire.go
+++ b/internal/upstream/wire.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/hex"
-	"math"
 	"strconv"
 	"strings"
 
@@ -41,8 +40,8 @@
 	"eps": "errors", "x0": "hits", "x1": "link",
 }
 
-// frame is an attempt as the cache servers read it.
-func frame(a core.Attempt) []byte {
+// appendFrame adds an attempt to b as the cache servers read it, with the time that is left now.
+func appendFrame(b []byte, a *core.Attempt, now float64) []byte {
 	f := append(make([]byte, 0, 160), "lane="...)
 	f = append(f, a.Class...)
 	add := func(name, value string) {
@@ -53,7 +52,7 @@
 	}
 	add("name", a.Object)
 	add("piece", strconv.Itoa(a.Part))
-	add("ttl", strconv.Itoa(max(1, int(math.Ceil(a.TTL)))))
+	add("ttl", strconv.Itoa(max(1, int(a.Until-now))))
 	if a.Source != a.To {
 		add("fetch", Name(a.Source))
 	}
@@ -79,7 +78,7 @@
 	if a.Key != "" {
 		add("dedupe", a.Key)
 	}
-	return resp.AppendBody(make([]byte, 0, 256+len(a.Body)), a.Body, "fetch", a.ID, string(f))
+	return resp.AppendBody(b, a.Body, "fetch", a.ID, string(f))
 }
 
 // mostNumber bounds what an answer may tell in numbers: in ms it is half an hour.
--- a/internal/upstream/wire_test.go
+++ b/internal/upstream/wire_test.go
@@ -30,10 +30,11 @@
 // What a class or a deployment does not have is absent from the frame: no source, no rank, no age, no copy, no key. Where a
 // copy is good until it is purged nothing else bounds its age.
 func TestFrame(t *testing.T) {
-	a := core.Attempt{ID: "00000000000000a1", Class: "tiles", Object: "7f3a9c21e0b4d655", Part: 3, To: 20, Source: 20, TTL: 1499.2}
-	require.Equal(t, "*4\r\n$5\r\nfetch\r\n$16\r\n00000000000000a1\r\n$49\r\nlane=tiles,name=7f3a9c21e0b4d655,piece=3,ttl=1500\r\n$0\r\n\r\n", string(frame(a)))
+	a := core.Attempt{ID: "00000000000000a1", Class: "tiles", Object: "7f3a9c21e0b4d655", Part: 3, To: 20, Source: 20, Until: 2499.8}
+	frame := func(a core.Attempt) []byte { return appendFrame(nil, &a, 1000) }
+	require.Equal(t, "*4\r\n$5\r\nfetch\r\n$16\r\n00000000000000a1\r\n$49\r\nlane=tiles,name=7f3a9c21e0b4d655,piece=3,ttl=1499\r\n$0\r\n\r\n", string(frame(a)))
 	a.Source, a.Keep, a.Age, a.Holds, a.Key = 11, 2, 20.9, "v1", "k1"
 	a.How = policy.Join | policy.ParentPasses
 	require.Contains(t, string(frame(a)),
-		"lane=tiles,name=7f3a9c21e0b4d655,piece=3,ttl=1500,fetch=s-0000000b,retain=2,newer=20,handle=coalesce+transit,holds=v1,dedupe=k1\r\n")
+		"lane=tiles,name=7f3a9c21e0b4d655,piece=3,ttl=1499,fetch=s-0000000b,retain=2,newer=20,handle=coalesce+transit,holds=v1,dedupe=k1\r\n")
 }
