Board: silence is counted from the last bytes, not from the beginning of a frame

The read deadline was set once for each frame: a list of 3,200 servers that came slowly was broken off and asked for from its beginning, for good. It is set before each read now.

--- a/internal/source/board/board.go
+++ b/internal/source/board/board.go
@@ -272,6 +272,20 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// patient reads a connection for as long as something comes in time. Guards against a board that was cut off, whose connection
+// stays open and says nothing. One that is slow, with a list of thousands of servers say, is not silent: asked anew, it would
+// begin from the start.
+type patient struct {
+	net.Conn
+	silence time.Duration
+}
+
+// Read implements io.Reader.
+func (p patient) Read(b []byte) (int, error) {
+	_ = p.SetReadDeadline(time.Now().Add(p.silence))
+	return p.Conn.Read(b)
+}
+
 // follow reads one connection to its end, and tells whether a frame came over it.
 func (c *Client) follow(ctx context.Context, addr string) (heard bool) {
 	silence := c.patience()
@@ -290,10 +304,9 @@
 	if _, err := nc.Write(last[:]); err != nil {
 		return false
 	}
+	in := patient{nc, silence}
 	for {
-		// Guards against a board that was cut off: its connection stays open and says nothing.
-		_ = nc.SetReadDeadline(time.Now().Add(silence))
-		n, kind, err := readFrame(nc)
+		n, kind, err := readFrame(in)
 		if err != nil {
 			return heard
 		}
