A SIGTERM behind stepping back: failing test

An owner that is stopped while another process takes its address steps back as it is woken; the SIGTERM that follows ends it at once, and its client sees the connection end with an answer owed.

--- /dev/null
+++ b/cmd/ravenwheel/signal_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strconv"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/scenario"
+)
+
+// An owner is stopped while another process takes its address, and steps back as it is woken. The SIGTERMs that follow, one
+// after the other, change nothing: what it owes is answered, and it ends by itself.
+func TestTerminatedAfterSteppingBack(t *testing.T) {
+	bin, listen, dir, cache := build(t), freeAddr(t), t.TempDir(), scenario.Listen(t)
+	board := listenBoard(t)
+	go func() {
+		for {
+			nc, err := board.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(io.Discard, nc) }()
+		}
+	}()
+	config := configFile(t, listen, board.Addr().String(), cache.Addr())
+	text, err := os.ReadFile(config)
+	require.NoError(t, err)
+	text = bytes.ReplaceAll(text, []byte(strconv.Quote("127.0.0.1:1")), []byte(strconv.Quote(cache.Addr())))
+	require.NoError(t, os.WriteFile(config, text, 0o600))
+	old := startBeside(t, bin, config, dir)
+	old.ready(t)
+	c := scenario.Dial(t, listen)
+	actors := map[string]scenario.Actor{"c": c, "s": cache}
+	scenario.Run(t, clock.System(), actors, `
+		c send RPC.CALL 1 asset rid=00000000000000a1,budget=60000,obj=7f3a9c21e0b4d655,nth=0,batch=17
+		s expect fetch 00000000000000a1 lane=asset,* -`)
+	require.NoError(t, old.cmd.Process.Signal(syscall.SIGSTOP))
+	next := startBeside(t, bin, config, dir)
+	next.ready(t)
+	require.NoError(t, old.cmd.Process.Signal(syscall.SIGCONT))
+	require.Eventually(t, func() bool { return old.call("STATUS") == "FAILURE stopping" }, time.Minute, 5*time.Millisecond, "it steps back")
+	for range 3 {
+		require.NoError(t, old.cmd.Process.Signal(syscall.SIGTERM))
+		time.Sleep(50 * time.Millisecond)
+	}
+	scenario.Run(t, clock.System(), actors, `
+		s send 00000000000000a1 served why=local,version=v1 BYTES
+		c expect 1 ok - BYTES`)
+	require.NoError(t, old.cmd.Wait(), "%s", old.logs)
+	require.Equal(t, "SUCCESS serving", next.call("STATUS"))
+	require.NoError(t, next.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, next.cmd.Wait(), "%s", next.logs)
+}
