Signals stay the program's own until it has ended, also once it steps back

takePlace was given NotifyContext's stop function, which unregisters the signals: a SIGTERM that followed a step back ended the process by its default action, with answers owed. Stepping back cancels a context of its own.

--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -110,7 +110,10 @@
 		return err
 	}
 	defer shared.close()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	// Signals stay this program's own until it has ended. Guards against a SIGTERM that comes behind another reason to stop, and
+	// found its default action in force again: the process was gone at once, with answers owed.
+	signalled, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, stop := context.WithCancel(signalled)
 	defer stop()
 	place, err := takePlace(conf, clk, log, stop)
 	if err != nil {
