Spans run on the monotonic clock, and stamps of other machines are read by one pure reader

clock.Now was the wall clock. Stepped back, the module stood still until it had caught up and refused 200 of 200 requests; stepped forward, a purge told then was not heeded (TestWallClockStepped). Now runs on from the Unix time of the start; Wall is for stamps, tokens and logs. decide/stamps reads purges' and starts' stamps: none is newer than now, and none on a live watch much older than its last word; a purge shows how far the clocks are apart. The hand-over's record and what the module learned carry the epoch of their clock. Ruled out: reading stamps by the present wall alone, which is an hour off on one side of the step.

--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -15,6 +15,7 @@
 	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/decide/recovery"
 	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/decide/stamps"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/peers"
 	"ravenwheel/internal/roster"
@@ -128,13 +129,17 @@
 			func(id policy.CacheID, at float64) { s.roster.Tell(membership.Back{ID: id, At: at}) })
 	}
 	if boardAt >= 0 {
-		notice := func(n board.Notice) { n.Tell(boardAt, s.roster.Tell, purged) }
-		for _, n := range conf.Known {
-			notice(n)
+		reader := stamps.New(clk.Now())
+		for _, n := range board.DatedKnown(conf.Known, reader, clk.Now(), clock.Ms(conf.Settings.PurgeTakes)) {
+			n.Tell(boardAt, s.roster.Tell, purged)
 		}
 		s.board = &board.Client{
-			Addr: conf.Board, Last: conf.Rev, Silence: boardSilence, Redial: boardRedial, Seed: conf.Seed, Notice: notice,
-			Heard: func() { s.roster.Tell(membership.Heard{Source: boardAt}) },
+			Addr: conf.Board, Last: conf.Rev, Silence: boardSilence, Redial: boardRedial, Seed: conf.Seed,
+			Notice: func(n board.Notice) { n.Dated(reader, clk.Now()).Tell(boardAt, s.roster.Tell, purged) },
+			Heard: func() {
+				reader.Heard(clk.Now())
+				s.roster.Tell(membership.Heard{Source: boardAt})
+			},
 		}
 	}
 	if l := o.Servers; l != nil {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -94,11 +94,14 @@
 // Member is a cache server, with its address.
 type Member = membership.Member
 
+// StampUnit is the unit of stamps in ms: a copy that is stamped with the millisecond of a purge may be from before it.
+const StampUnit = 1
+
 // Purge is a purge of an object or, with none named, of a group.
 type Purge struct {
 	Object string
 	Group  int
-	At     float64 // Unix ms
+	At     float64 // ms on the clock: copies from before are void. One to come counts as now
 }
 
 // Counters are what operators may read. They only rise, but for Open.
@@ -424,7 +427,8 @@
 // Purged takes in a purge that was told.
 func (c *Core) Purged(p Purge) {
 	c.Counters.Notices.Add(1)
-	c.tell(policy.Purged{Object: p.Object, Group: p.Group, Age: clock.Duration(c.clock.Now() - p.At)})
+	now := c.clock.Now()
+	c.tell(policy.Purged{Object: p.Object, Group: p.Group, Age: clock.Duration(now - min(now+StampUnit, p.At))})
 }
 
 // Members takes in what the ledger publishes: first those who carry attempts, so that none is decided on for a server
--- a/internal/core/learned.go
+++ b/internal/core/learned.go
@@ -23,6 +23,7 @@
 	Settings [sha256.Size]byte // those that it was learned under
 	Learned  policy.Learned
 	Counted  []int64 // what the counters have risen to, in the order of rising
+	Epoch    float64 // of the clock that its times are on; 0: not told
 }
 
 // rising are the counters that only rise: they go on where the process before has left them.
@@ -36,7 +37,8 @@
 // Learned is what the module has learned: who is down, limits, ramps, budgets, sending times.
 func (c *Core) Learned() ([]byte, error) {
 	c.mu.Lock()
-	l := learned{learnedRevision, c.classes, c.settings, c.router.Learned(), nil}
+	l := learned{Revision: learnedRevision, Classes: c.classes, Settings: c.settings, Learned: c.router.Learned()}
+	l.Epoch, _ = c.clock.Epoch()
 	for _, n := range c.Counters.rising() {
 		l.Counted = append(l.Counted, n.Load())
 	}
@@ -61,6 +63,7 @@
 	if l.Settings != c.settings {
 		return errSettings
 	}
+	l.Learned = l.Learned.Shifted(clock.Duration(c.clock.Shift(l.Epoch)))
 	if err := usable(l, c.classes, clock.Duration(c.clock.Now())); err != nil {
 		return err
 	}
--- a/internal/core/learned_test.go
+++ b/internal/core/learned_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"context"
 	"math"
 	"testing"
 	"time"
@@ -111,3 +112,25 @@
 	require.Equal(t, was, is)
 	require.NoError(t, p.Core.Inherit(good))
 }
+
+// The wall clock is stepped by an hour between the starts of two processes. What the first has learned is taken over by the
+// second, with its times where they were: no server is judged by a time to come, nor as long ago.
+func TestInheritOverAStep(t *testing.T) {
+	for _, step := range []float64{3_600_000, -3_600_000} {
+		before, after := clock.System(), clock.Shifted(step)
+		first := coreOver(t, before, &serves{})
+		require.Equal(t, core.Served, first.Do(context.Background(), core.Request{ID: "a", Class: 1, Object: "o", Deadline: before.Now() + 900}).Verdict)
+		text, err := first.Learned()
+		require.NoError(t, err)
+		second := coreOver(t, after, &serves{})
+		require.NoError(t, second.Inherit(text))
+		again, err := second.Learned()
+		require.NoError(t, err)
+		var was, is struct{ Learned policy.Learned }
+		require.NoError(t, cbor.Unmarshal(text, &was))
+		require.NoError(t, cbor.Unmarshal(again, &is))
+		answered := was.Learned.Targets[scenario.CacheID].LastAnswer
+		require.NotZero(t, answered)
+		require.InDelta(t, step, clock.Ms(is.Learned.Targets[scenario.CacheID].LastAnswer-answered), 500)
+	}
+}
--- a/internal/front/signed/front.go
+++ b/internal/front/signed/front.go
@@ -97,7 +97,7 @@
 	}
 	if write {
 		// Authorised once and for all before its first attempt: from here on only what becomes of it counts.
-		switch err := f.store.Spend(t.jti, t.void); {
+		switch err := f.store.Spend(t.jti, t.expires); {
 		case errors.Is(err, store.ErrSpent):
 			reply(w, http.StatusConflict, "replayed")
 			return
--- a/internal/front/signed/front_test.go
+++ b/internal/front/signed/front_test.go
@@ -12,6 +12,7 @@
 	"maps"
 	"net"
 	"net/url"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -113,7 +114,10 @@
 		"confused", "none", "oldaud") + link + "{old}\nb expect 403 - expired",
 	// A link that expires while its request waits: one 403, and the attempt is given up.
 	"expiry in the queue": link + "{good} X-Budget-Ms:60000" + arrived + "wait {void}\nb expect 403 - expired\ns expect abort $id",
-	"timed out":           link + "{good} X-Budget-Ms:900" + arrived + "wait 900\nb expect 504 - timed out\ns expect abort $id",
+	// The wall clock is stepped while it waits: what is left of the link's time is a span, and is neither cut short nor drawn out.
+	"stepped back in the queue":    link + "{good} X-Budget-Ms:60000" + arrived + "step send -3600000\nwait {void}\nb expect 403 - expired\ns expect abort $id",
+	"stepped forward in the queue": link + "{good}" + arrived + "step send 3600000\n" + served,
+	"timed out":                    link + "{good} X-Budget-Ms:900" + arrived + "wait 900\nb expect 504 - timed out\ns expect abort $id",
 	"revoked while it waits": link + "{good}" + arrived + `
 		revoke send j1
 		s send $id served why=local,version=v1 BYTES
@@ -209,6 +213,11 @@
 	script = s.fill(strings.ReplaceAll(script, "{void}", fmt.Sprint(10_000+skew+leeway)))
 	scenario.Run(t, p.Clock, map[string]scenario.Actor{
 		"b": scenario.Browse(base), "s": p.Cache, "drop": operator(st.DropKey), "quorum": operator(shut),
+		"step": operator(func(ms string) error {
+			by, err := strconv.ParseFloat(ms, 64)
+			p.Clock.StepWall(by)
+			return err
+		}),
 		"revoke": operator(func(jti string) error { return st.Revoke(jti, p.Clock.Now()+1e6) }),
 	}, script)
 	n := &p.Core.Counters
--- a/internal/front/signed/token.go
+++ b/internal/front/signed/token.go
@@ -47,7 +47,8 @@
 // token is an accepted JWT.
 type token struct {
 	kid, jti string
-	void     float64 // Unix ms from when on it is not accepted: its exp and the leeway
+	expires  float64 // Unix ms from when on it is not accepted: its exp and the leeway
+	void     float64 // the same on this machine's clock, as of when it was read
 }
 
 // verifier checks tokens against the keys in the store.
@@ -65,7 +66,7 @@
 		jwt.WithValidMethods([]string{"HS256", "ES256", "EdDSA"}),
 		jwt.WithAudience(v.audience), jwt.WithExpirationRequired(), jwt.WithIssuedAt(),
 		jwt.WithLeeway(clock.Duration(math.Float64frombits(v.leeway.Load()))), jwt.WithTimeFunc(func() time.Time {
-			return time.UnixMicro(int64(v.clock.Now() * 1e3))
+			return time.UnixMicro(int64(v.clock.Wall() * 1e3))
 		}),
 	)
 	if err != nil {
@@ -77,7 +78,8 @@
 		return token{}, fmt.Errorf("%w: %v", errUnauthorised, err)
 	}
 	kid, _ := parsed.Header["kid"].(string)
-	t := token{kid: kid, jti: c.ID, void: float64(c.ExpiresAt.UnixMicro())/1e3 + math.Float64frombits(v.leeway.Load())}
+	t := token{kid: kid, jti: c.ID, expires: float64(c.ExpiresAt.UnixMicro())/1e3 + math.Float64frombits(v.leeway.Load())}
+	t.void = t.expires - v.clock.Wall() + v.clock.Now()
 	switch {
 	case c.Version != nil && *c.Version != 1:
 		err = errors.New("cdniv is not 1")
--- a/internal/handover/action.go
+++ b/internal/handover/action.go
@@ -48,7 +48,11 @@
 		h.say(h.owner, message{Kind: "serves"})
 	case decide.Offer:
 		h.opt.Shares(true)
-		h.say(h.peers[a.To], message{Kind: "state", Revision: decide.Revision, Generation: h.machine.Generation(), Out: names(h.record.out()), Back: h.record.backNames()})
+		epoch, _ := h.opt.Clock.Epoch()
+		h.say(h.peers[a.To], message{
+			Kind: "state", Revision: decide.Revision, Generation: h.machine.Generation(), Out: names(h.record.out()),
+			Back: h.record.backNames(), Epoch: epoch,
+		})
 	case decide.Turn:
 		h.say(h.peers[a.To], message{Kind: "turn", Busy: a.Busy})
 	case decide.Grant:
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -85,7 +85,7 @@
 		opt: o, base: filepath.Join(o.Dir, fmt.Sprintf("ravenwheel-%08x", name.Sum32())), machine: decide.New(settings),
 		peers: map[int]*net.UnixConn{}, told: make(chan struct{}), owns: make(chan struct{}), failed: make(chan error, 1), wake: func() {},
 	}
-	h.record.path = h.base + ".json"
+	h.record.path, h.record.clock = h.base+".json", o.Clock
 	if err := h.record.load(); err != nil {
 		o.Log.Warn("handover").Err(err).Msg("what was kept can't be used, and is passed over")
 	}
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -16,6 +16,7 @@
 	Generation uint64             `json:"generation,omitempty"`
 	Out        []string           `json:"out,omitempty"`
 	Back       map[string]float64 `json:"back,omitempty"`
+	Epoch      float64            `json:"epoch,omitempty"` // of the clock that the times in Back are on
 	ID         string             `json:"id,omitempty"`
 	On         bool               `json:"on,omitempty"`
 	Busy       bool               `json:"busy,omitempty"`
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"ravenwheel/internal/clock"
 	"ravenwheel/internal/decide/serverlist"
 	"ravenwheel/policy"
 )
@@ -29,16 +30,31 @@
 // outlives the process. It is replaced whole; nothing is forced to the disk, as what a machine loses with its memory it
 // loses with its processes.
 type record struct {
-	path string
-	mu   sync.Mutex
-	kept kept
+	path  string
+	clock *clock.Clock
+	mu    sync.Mutex
+	kept  kept
 }
 
 type kept struct {
 	Generation uint64   `json:"generation"`
 	Out        []string `json:"out"`
-	// Back are servers that were given back lately, and when in Unix ms: cold from then on.
+	// Back are servers that were given back lately, and when in ms: cold from then on.
 	Back map[string]float64 `json:"back,omitempty"`
+	// Epoch is of the clock that these times are on; 0: not told.
+	Epoch float64 `json:"epoch,omitempty"`
+}
+
+// dated returns the same with its times on another clock of this machine.
+func (k kept) dated(c *clock.Clock) kept {
+	shift := c.Shift(k.Epoch)
+	back := make(map[string]float64, len(k.Back))
+	for name, at := range k.Back {
+		back[name] = at + shift
+	}
+	k.Back = back
+	k.Epoch, _ = c.Epoch()
+	return k
 }
 
 // backFor: ms after which a server that was given back is no longer told of; it is warm long before.
@@ -83,7 +99,7 @@
 	if err != nil {
 		return kept{}, err
 	}
-	return k, nil
+	return k.dated(r.clock), nil
 }
 
 // ids reads names of servers, as untrusted as the file or process that they came from.
@@ -176,6 +192,7 @@
 		return nil
 	}
 	next := kept{Generation: r.kept.Generation, Back: map[string]float64{}}
+	next.Epoch, _ = r.clock.Epoch()
 	next.Out = slices.DeleteFunc(slices.Clone(r.kept.Out), func(n string) bool { return n == name })
 	for n, at := range r.kept.Back {
 		if n != name && now-at < backFor {
@@ -205,10 +222,11 @@
 }
 
 // replace takes in all that the owner has kept.
-func (r *record) replace(out []string, back map[string]float64) {
+func (r *record) replace(told kept) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.kept.Out, r.kept.Back = slices.Clone(out), maps.Clone(back)
+	told = told.dated(r.clock)
+	r.kept.Out, r.kept.Back, r.kept.Epoch = slices.Clone(told.Out), told.Back, told.Epoch
 }
 
 // write replaces the record. Guards against an owner that was stopped and wakes up late: it finds a higher generation.
--- a/internal/handover/socket.go
+++ b/internal/handover/socket.go
@@ -172,13 +172,14 @@
 		}
 		switch m.Kind {
 		case "state":
-			err := kept{Out: m.Out, Back: m.Back}.check()
+			told := kept{Out: m.Out, Back: m.Back, Epoch: m.Epoch}
+			err := told.check()
 			if err != nil {
 				h.opt.Log.Warn("handover").Err(err).Msg("what the owner tells can't be used")
 				m.Revision = -1
 			}
 			if err == nil {
-				h.record.replace(m.Out, m.Back)
+				h.record.replace(told)
 			}
 			h.tell(decide.Told{Revision: m.Revision, Generation: m.Generation})
 		case "turn":
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -99,7 +99,7 @@
 	if l == nil || int32(level) < l.level.Load() {
 		return nil
 	}
-	now := time.UnixMicro(int64(l.clock.Now() * 1e3))
+	now := time.UnixMicro(int64(l.clock.Wall() * 1e3))
 	l.mu.Lock()
 	k := l.kinds[name]
 	if k == nil {
--- a/internal/source/board/board.go
+++ b/internal/source/board/board.go
@@ -21,7 +21,8 @@
 	"ravenwheel/policy"
 )
 
-// Notice is one event of the notice board: of the list, whole or in changes, or a purge.
+// Notice is one event of the notice board: of the list, whole or in changes, or a purge. Its times are stamps of other
+// machines until they are read; see Dated.
 type Notice struct {
 	Rev     uint64
 	Whole   bool
@@ -95,7 +96,7 @@
 			}
 		}
 		if f := j.Flush; f != nil {
-			n.Purge = &core.Purge{Object: f.Asset, Group: -1, At: f.Ms + 1}
+			n.Purge = &core.Purge{Object: f.Asset, Group: -1, At: f.Ms + core.StampUnit}
 			if f.Collection != nil {
 				n.Purge.Group = *f.Collection
 			}
@@ -162,7 +163,6 @@
 		return n, kind, err
 	}
 	u64 := binary.BigEndian.Uint64
-	// The board gives whole milliseconds: a copy made within the one of its purge counts as older.
 	switch {
 	case (kind == kindWhole || kind == kindChanges) && len(b)%recordLen == 0:
 		n.Whole = kind == kindWhole
@@ -174,9 +174,9 @@
 			n.Members = append(n.Members, m)
 		}
 	case kind == kindObject && len(b) == 16:
-		n.Purge = &core.Purge{Object: fmt.Sprintf("%016x", u64(b)), Group: -1, At: float64(u64(b[8:])) + 1}
+		n.Purge = &core.Purge{Object: fmt.Sprintf("%016x", u64(b)), Group: -1, At: float64(u64(b[8:])) + core.StampUnit}
 	case kind == kindGroup && len(b) == 10:
-		n.Purge = &core.Purge{Group: int(binary.BigEndian.Uint16(b)), At: float64(u64(b[2:])) + 1}
+		n.Purge = &core.Purge{Group: int(binary.BigEndian.Uint16(b)), At: float64(u64(b[2:])) + core.StampUnit}
 	case kind > kindGroup || kind == kindNothing: // of a later version, or nothing new
 	default:
 		return n, kind, errFrame
--- a/internal/source/board/board_test.go
+++ b/internal/source/board/board_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/stamps"
 	"ravenwheel/policy"
 )
 
@@ -142,3 +143,27 @@
 		require.Error(t, err)
 	}
 }
+
+// The stamps of what a board tells are read on this machine's clock: as they are while no clock steps, and as of now where
+// they can't be; a server keeps the start that was read first.
+func TestDated(t *testing.T) {
+	const now, hour = 1_764_576_000_000.0, 3_600_000.0
+	server := func(id policy.CacheID, started float64) core.Member {
+		m := core.Member{}
+		m.ID, m.Started = id, policy.Time(started*1e6)
+		return m
+	}
+	r := stamps.New(now)
+	known := []Notice{
+		{Rev: 1, Whole: true, Members: []core.Member{server(1, 0), server(2, now-hour), server(3, now-2000)}},
+		{Rev: 2, Purge: &core.Purge{Group: 17, At: now - 300 + 1}},
+	}
+	require.Equal(t, known, DatedKnown(known, r, now, 6000))
+	r.Heard(now + 1000)
+	stepped := Notice{Rev: 3, Purge: &core.Purge{Group: 17, At: now + 1200 - hour + 1}}
+	require.Equal(t, now+1500+1, stepped.Dated(r, now+1500).Purge.At, "of a clock that was stepped back, and told now")
+	list := Notice{Rev: 4, Members: []core.Member{server(3, now-2000), server(4, now+500-hour)}}.Dated(r, now+1600)
+	require.Equal(t, now-2000, ms(list.Members[0].Started))
+	require.GreaterOrEqual(t, ms(list.Members[1].Started), now+500)
+	require.LessOrEqual(t, ms(list.Members[1].Started), now+1600)
+}
--- /dev/null
+++ b/internal/source/board/stamps.go
@@ -0,0 +1,59 @@
+package board
+
+import (
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/stamps"
+	"ravenwheel/policy"
+)
+
+// ms is a time of the module's in ms.
+func ms(t policy.Time) float64 { return float64(t) / 1e6 }
+
+// Dated returns a notice that was heard now with its stamps read as times on this machine's clock.
+func (n Notice) Dated(r *stamps.Reader, now float64) Notice {
+	start := r.Start
+	if n.Whole {
+		start = r.KnownStart
+	}
+	n = n.started(now, start)
+	if n.Purge != nil {
+		p := *n.Purge
+		p.At = r.Purge(now, p.At-core.StampUnit) + core.StampUnit
+		n.Purge = &p
+	}
+	r.Heard(now)
+	return n
+}
+
+// DatedKnown returns the notices of the start with their stamps read. The purges among them are of the last span of so many ms.
+func DatedKnown(known []Notice, r *stamps.Reader, now, span float64) []Notice {
+	newest := 0.0
+	for _, n := range known {
+		if n.Purge != nil {
+			newest = max(newest, n.Purge.At)
+		}
+	}
+	if newest > 0 {
+		r.Known(now, newest, span)
+	}
+	out := make([]Notice, len(known))
+	for i, n := range known {
+		out[i] = n.started(now, r.KnownStart)
+		if n.Purge != nil {
+			p := *n.Purge
+			p.At = r.KnownPurge(now, p.At-core.StampUnit) + core.StampUnit
+			out[i].Purge = &p
+		}
+	}
+	return out
+}
+
+func (n Notice) started(now float64, read func(now float64, id policy.CacheID, stamp float64) float64) Notice {
+	members := n.Members
+	n.Members = nil
+	for _, m := range members {
+		m.Started = policy.Time(read(now, m.ID, ms(m.Started)) * 1e6)
+		n.Members = append(n.Members, m)
+	}
+	return n
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -854,8 +854,9 @@
 			}
 		}
 		if started && t.role != origin {
-			r.chill(t, m.Started)
-			t.Ramped, t.Ramps = m.Started, true
+			from := min(m.Started, r.now) // of a clock that runs ahead
+			r.chill(t, from)
+			t.Ramped, t.Ramps = from, true
 			t.Down, t.Unanswered, t.FailShare, t.trialOut = false, 0, 0, false
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -140,6 +140,25 @@
 	r.fillShare, r.originShare, r.linkSeen = l.FillShare, l.OriginShare, l.LinkSeen
 }
 
+// Shifted is what was learned with all its times moved by so much, as on another clock.
+func (l Learned) Shifted(by time.Duration) Learned {
+	targets := make(map[CacheID]Judged, len(l.Targets))
+	for id, j := range l.Targets {
+		targets[id] = j.shifted(by)
+	}
+	l.Targets, l.Link = targets, l.Link.shifted(by)
+	return l
+}
+
+func (j Judged) shifted(by time.Duration) Judged {
+	for _, t := range []*Time{&j.FailedAt, &j.LastAnswer, &j.TrialAt, &j.Heard, &j.Ramped, &j.Cold, &j.CreditAt} {
+		if *t > 0 {
+			*t = max(0, *t+by)
+		}
+	}
+	return j
+}
+
 func (r *Router) do(a Action) { r.out = append(r.out, a) }
 
 func (r *Router) after(d time.Duration, t timer) {
