Slow writers, unread requests, a kill that comes soon: failing tests

TestSlowWriter: a frame whose bytes come a second apart is ended at 1.5 s. TestKilledSoon: with a longest deadline of 0.3 s SIGKILL may come 1.0 s after SIGTERM, and the plan hears requests until 1.6 s.

--- a/cmd/ravenwheel/hang_test.go
+++ b/cmd/ravenwheel/hang_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ravenwheel/internal/clock"
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/membership"
@@ -15,6 +16,7 @@
 	"ravenwheel/internal/front/resp"
 	"ravenwheel/internal/lab/fleet"
 	"ravenwheel/internal/scenario"
+	"ravenwheel/internal/upstream"
 	"ravenwheel/policy"
 )
 
@@ -92,3 +94,115 @@
 		})
 	}
 }
+
+// restless is a client that always waits for some answer: it asks again and again before the last one has come, on one connection,
+// until that ends.
+type restless struct {
+	c             *scenario.Client
+	asked, served int
+	open          int // requests without an answer
+	ended         bool
+}
+
+// atOnce is how many requests such a client has open at most.
+const atOnce = 3
+
+// turn takes what came, and asks once more where asks.
+func (r *restless) turn(t *testing.T, n int, asks bool) {
+	for !r.ended {
+		words, err := r.c.Poll()
+		require.NoError(t, err)
+		if words == nil {
+			break
+		}
+		if r.ended = words[0] == "closed"; r.ended {
+			return
+		}
+		require.Contains(t, []string{"ok", "full", "fault"}, words[1], words)
+		if words[1] == "ok" {
+			r.served++
+		}
+		r.open--
+	}
+	if asks && r.open < atOnce {
+		r.open++
+		r.asked++
+		_ = r.c.Send([]string{"RPC.CALL", fmt.Sprint(r.asked), "asset", // it may have ended
+			fmt.Sprintf("rid=%08x%08x,budget=%d,obj=%016x,nth=0,batch=17", n, r.asked, 250, r.asked%50)})
+	}
+}
+
+// The longest deadline is short, so that SIGKILL comes soon: the longest deadline and 0.7 s after SIGTERM. Clients ask again at
+// once on the connections that they hold, some servers hang. By then all is answered and each connection has ended in between
+// two of its requests: what SIGKILL found unanswered would be lost.
+func TestStopWithShortDeadlines(t *testing.T) {
+	for _, deadline := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, time.Second, 3 * time.Second, 6 * time.Second} {
+		for _, hangs := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%v, servers hang %v", deadline, hangs), func(t *testing.T) {
+				p := scenario.NewProxy(t)
+				set := scenario.Settings()
+				for i := range set.Classes {
+					set.Classes[i].Deadline, set.Classes[i].Target = deadline, deadline/3
+				}
+				servers := fleet.New(fleet.Options{Clock: p.Clock, Serve: 25, Fill: 10})
+				defer servers.Close()
+				list := make([]core.Member, 3)
+				for i, id := range []policy.CacheID{scenario.CacheID, scenario.ParentID, scenario.OriginID} {
+					server, err := servers.Start(id, fleet.Role(i), "127.0.0.1:0")
+					require.NoError(t, err)
+					list[i].Addr, list[i].ID, list[i].Kind, list[i].Weight = server.Addr(), id, i, 10
+				}
+				pools := upstream.New(p.Clock, upstream.Limits{PerConn: 100, Conns: 4, Connect: 400, Idle: 30_000})
+				c, err := core.New(set, []string{"replay", "asset", "seat-claim"}, 0, 7, p.Clock, pools)
+				require.NoError(t, err)
+				c.Members(membership.Publish{Version: 1, Whole: true, Members: list})
+				ln, err := net.Listen("tcp", scenario.Loopback())
+				require.NoError(t, err)
+				front := resp.New(ln, 100, p.Clock, c)
+				go func() { _ = front.Serve() }()
+				defer front.Close()
+				conf := &config.Config{Settings: set}
+				d := desk.New(desk.Options{Clock: p.Clock, Conns: 100, AnswerWithin: killed(conf), Stop: func() {}})
+				d.Serve(front, nil, nil)
+				d.Owns(true)
+				d.Accept(true)
+				var clients []*restless
+				for range 6 {
+					clients = append(clients, &restless{c: scenario.Dial(t, front.Addr())})
+				}
+				// A moment is so many ms of the clock, in which whatever is on its way in the process comes.
+				moment := func() {
+					for turn := range 5 {
+						for n, r := range clients {
+							if !r.ended {
+								r.turn(t, n, turn == 0)
+							}
+						}
+						time.Sleep(200 * time.Microsecond)
+					}
+					p.Clock.Advance(10)
+				}
+				for range 20 {
+					moment()
+				}
+				if hangs {
+					servers.Server(scenario.CacheID).Set(fleet.Fault{Silent: true})
+				}
+				began, kill := p.Clock.Now(), min(3000, clock.Ms(deadline))+700
+				require.False(t, d.Stop())
+				for p.Clock.Now() < began+600 {
+					moment()
+				}
+				for n, r := range clients {
+					require.False(t, r.ended, "requests on connections that are open come until 0.6 s: %d", n)
+				}
+				for p.Clock.Now() < began+kill-20 {
+					moment()
+				}
+				for n, r := range clients {
+					require.True(t, r.ended, "client %d has asked %d, of which %d were served, and is still connected as SIGKILL may come", n, r.asked, r.served)
+				}
+			})
+		}
+	}
+}
--- a/internal/decide/drain/drain_test.go
+++ b/internal/decide/drain/drain_test.go
@@ -82,3 +82,26 @@
 		}
 	})
 }
+
+// The longest deadline is short, so that the kill comes soon. Requests on connections that stand are taken until 0.6 s, as they
+// come until then; there is time between the last that is taken and the kill in which each connection can come to rest.
+func TestKilledSoon(t *testing.T) {
+	for _, within := range []float64{850, 1050, 1550, 3550} {
+		for _, successor := range []bool{false, true} {
+			short := set
+			short.AnswerWithin = within
+			s := New(short)
+			s.Handle(0, Own)
+			if successor {
+				s.Handle(100, Yield)
+			}
+			s.Handle(200, Stop)
+			p := s.Plan(successor)
+			require.True(t, p.Hears(200+600-1), within)
+			require.False(t, p.Hears(200+within-250), "nothing that comes now could be refused, and its connection ended, in time: %v", within)
+			require.True(t, p.Ends(200+within-250, Conn{}), within)
+			require.False(t, p.Ends(200+within-1, Conn{Half: true}), "a client that writes slowly has until then")
+			require.True(t, p.Ends(200+within, Conn{Half: true}))
+		}
+	}
+}
--- /dev/null
+++ b/internal/front/resp/unread_test.go
@@ -0,0 +1,119 @@
+package resp_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/front/resp"
+	frames "ravenwheel/internal/resp"
+	"ravenwheel/internal/scenario"
+)
+
+// gatedFront is a front with so many places, and the gate before its reads.
+func gatedFront(t *testing.T, p *scenario.Proxy, most int) (*resp.Front, *gated) {
+	ln, err := net.Listen("tcp", scenario.Loopback())
+	require.NoError(t, err)
+	gate := &gated{TCPListener: ln.(*net.TCPListener)}
+	f := resp.New(gate, most, p.Clock, p.Core)
+	go func() { _ = f.Serve() }()
+	t.Cleanup(func() { f.Close() })
+	return f, gate
+}
+
+// Some clients write slowly: the bytes of a frame come a second apart, for several times as long as a silent client has. Its
+// request is served, the first one on a connection and a later one.
+func TestSlowWriter(t *testing.T) {
+	p := scenario.NewProxy(t)
+	f, gate := gatedFront(t, p, 10)
+	nc, err := net.Dial("tcp", f.Addr())
+	require.NoError(t, err)
+	defer nc.Close()
+	sent := int64(0)
+	write := func(b []byte) {
+		_, err := nc.Write(b)
+		require.NoError(t, err)
+		sent += int64(len(b))
+		require.Eventually(t, func() bool { return gate.wanted.Load() == sent }, 10*time.Second, time.Millisecond)
+	}
+	for _, tag := range []string{"1", "2"} {
+		call := frames.Append(nil, "RPC.CALL", tag, "asset", "rid=00000000000000a"+tag+",budget=900,obj=7f3a9c21e0b4d655,nth=0,batch=17")
+		for size := len(call)/7 + 1; len(call) > 0; call = call[min(size, len(call)):] {
+			write(call[:min(size, len(call))])
+			if len(call) > size {
+				p.Clock.Advance(1000)
+			}
+		}
+		scenario.Run(t, p.Clock, map[string]scenario.Actor{"s": p.Cache}, `
+			s expect fetch 00000000000000a`+tag+` * -
+			s send $id served why=local,version=v1 BYTES`)
+		read := make([]byte, 64)
+		n, err := nc.Read(read)
+		require.NoError(t, err)
+		require.Contains(t, string(read[:n]), "BYTES")
+		require.Eventually(t, f.Idle, time.Minute, time.Millisecond)
+	}
+	p.Clock.Advance(3000)
+	write([]byte("*4\r\n$8"))
+	p.Clock.Advance(3000)
+	_, err = nc.Read(make([]byte, 1))
+	require.ErrorIs(t, err, io.EOF, "half a frame of which no more comes ends its connection")
+}
+
+// A request has reached a connection and nobody has read it yet, as the reader is held up. The connection is not at rest: it
+// is not ended for one that comes, nor as one on which half a frame came and no more; the request is served, and so is the one
+// that came for a place.
+func TestUnreadIsNotAtRest(t *testing.T) {
+	const rests = "*2\r\n$10\r\nRPC.HEALTH\r\n$1\r\n1\r\n"
+	for name, half := range map[string]bool{"a place is needed": false, "half a frame, for too long": true} {
+		t.Run(name, func(t *testing.T) {
+			p := scenario.NewProxy(t)
+			f, gate := gatedFront(t, p, 1)
+			nc, err := net.Dial("tcp", f.Addr())
+			require.NoError(t, err)
+			defer nc.Close()
+			_, err = io.WriteString(nc, rests)
+			require.NoError(t, err)
+			answer := make([]byte, 64)
+			_, err = nc.Read(answer)
+			require.NoError(t, err)
+			require.Eventually(t, f.Idle, time.Minute, time.Millisecond)
+			call := frames.Append(nil, strings.Fields(asset)...)
+			begun := 0
+			if half {
+				begun = 9
+				_, err = nc.Write(call[:begun])
+				require.NoError(t, err)
+				require.Eventually(t, func() bool { return gate.wanted.Load() == int64(len(rests)+begun) }, time.Minute, time.Millisecond)
+			}
+			gate.mu.Lock()
+			_, err = nc.Write(call[begun:])
+			require.NoError(t, err)
+			actors := map[string]scenario.Actor{"s": p.Cache}
+			if half {
+				p.Clock.Advance(1750)
+			} else {
+				actors["comes"] = scenario.Dial(t, f.Addr())
+				require.NoError(t, actors["comes"].Send([]string{"RPC.HEALTH", "1"}))
+			}
+			for range 20 {
+				time.Sleep(time.Millisecond) // an end would be under way
+			}
+			gate.mu.Unlock()
+			scenario.Run(t, p.Clock, actors, `
+				s expect fetch 00000000000000a1 * -
+				s send $id served why=local,version=v1 BYTES`)
+			n, err := nc.Read(answer)
+			require.NoError(t, err)
+			require.Contains(t, string(answer[:n]), "BYTES")
+			if !half {
+				scenario.Run(t, p.Clock, actors, `
+					comes await 1 yes`)
+			}
+		})
+	}
+}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -193,6 +193,16 @@
 // Receive implements Actor.
 func (c *Client) Receive() ([]string, error) { m, err := c.in.take(); return m.words, err }
 
+// Poll is Receive, but for a client that does not wait: without a message there are no words.
+func (c *Client) Poll() ([]string, error) {
+	select {
+	case m := <-c.in:
+		return m.words, nil
+	default:
+		return nil, nil
+	}
+}
+
 // Close implements Actor.
 func (c *Client) Close() error { return c.nc.Close() }
 
