Connections with unread or slowly written requests stay; a kill that comes soon is planned for

The drain's plan refused from 1.6 s on though SIGKILL may come at 1.0 s: it keeps 0.4 s before the last answer for connections to come to rest. The front's, drain's and the stop tests pass.

--- a/internal/decide/drain/drain.go
+++ b/internal/decide/drain/drain.go
@@ -18,6 +18,13 @@
 	RefuseAfter float64
 	// AnswerWithin: a proxy that was told to end is killed so long after, whatever it owes by then.
 	AnswerWithin float64
+	// HeardFor: told to end, it is sent requests on connections that stand for so long, however soon it is killed.
+	HeardFor float64
+	// RestWithin: so long before the kill requests are refused, where RefuseAfter is later. Longer ends more connections between
+	// two requests, and serves less.
+	RestWithin float64
+	// HalfFor: a client that writes a frame slowly has so long, where nothing is killed.
+	HalfFor float64
 }
 
 // Phase is what the proxy does.
@@ -111,6 +118,7 @@
 	On         bool
 	CloseFrom  float64 // Unix ms from which a connection at rest ends
 	RefuseFrom float64 // and from which new requests are refused
+	HalfUntil  float64 // until which a connection stays of whose next request a part has come
 	Until      float64 // by which all is answered, whatever a client would wait; 0: no such bound
 }
 
@@ -118,15 +126,28 @@
 func (s *State) Plan(successor bool) Plan {
 	switch {
 	case s.phase == Draining:
-		return Plan{On: true, CloseFrom: s.since + s.set.FrontAfter, RefuseFrom: s.since + s.set.RefuseAfter}
+		return s.emptied(s.since + s.set.FrontAfter)
 	case s.phase == Yielding, s.phase == Stopping && successor: // new connections go to the successor at once
-		return Plan{On: true, CloseFrom: s.since, RefuseFrom: s.since + s.set.RefuseAfter, Until: s.until}
+		return s.emptied(s.since)
 	case s.phase == Stopping:
-		return Plan{On: true, CloseFrom: s.since + s.set.StopAfter, RefuseFrom: s.since + s.set.RefuseAfter, Until: s.until}
+		return s.emptied(s.since + s.set.StopAfter)
 	}
 	return Plan{}
 }
 
+// emptied is the plan of a proxy whose connections end at rest from a time on. Guards against a kill that comes soon, as the
+// longest deadline is short: clients that are never at rest would be found waiting by it.
+func (s *State) emptied(closeFrom float64) Plan {
+	p := Plan{On: true, CloseFrom: closeFrom, RefuseFrom: s.since + s.set.RefuseAfter, HalfUntil: s.since + s.set.HalfFor}
+	if s.until > 0 {
+		told := s.until - s.set.AnswerWithin
+		p.Until, p.HalfUntil = s.until, s.until
+		p.RefuseFrom = min(p.RefuseFrom, max(told+s.set.HeardFor, s.until-s.set.RestWithin))
+		p.CloseFrom = min(p.CloseFrom, p.RefuseFrom)
+	}
+	return p
+}
+
 // Conn is what is known of a connection.
 type Conn struct {
 	Open   int  // requests, and answers not yet written
@@ -138,7 +159,7 @@
 // Ends tells whether a connection is closed now. Guards against a request that crosses the close: none is, of which a
 // byte has come.
 func (p Plan) Ends(now float64, c Conn) bool {
-	return p.On && now >= p.CloseFrom && c.Open == 0 && !c.Unread && !c.New && (!c.Half || now >= p.RefuseFrom)
+	return p.On && now >= p.CloseFrom && c.Open == 0 && !c.Unread && !c.New && (!c.Half || now >= max(p.RefuseFrom, p.HalfUntil))
 }
 
 // Deadline is when a request that has just come has to be answered. Guards against one on a connection that its client
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -15,8 +15,9 @@
 )
 
 // In ms. frontAfter, refuseAfter: whoever sends clients asks ten times a second and stops 0.2 s after a no; after 2 s none may
-// come any more. StopAfter: after SIGTERM new connections keep coming for 0.4 s, and requests on open ones for 0.2 s more.
-const frontAfter, StopAfter, refuseAfter = 350, 800, 1600
+// come any more, and after 4 s none may be held that is not about to ask (halfFor). StopAfter, heardFor: after SIGTERM new
+// connections keep coming for 0.4 s, and requests on open ones for 0.2 s more. restWithin: a round trip of each client, twice.
+const frontAfter, StopAfter, refuseAfter, heardFor, restWithin, halfFor = 350, 800, 1600, 600, 400, 3000
 
 // Front is the clients' front, as far as it is told.
 type Front interface {
@@ -59,7 +60,10 @@
 
 // New returns the desk of a proxy that has just started.
 func New(o Options) *Desk {
-	set := drain.Settings{FrontAfter: frontAfter, StopAfter: StopAfter, RefuseAfter: refuseAfter, AnswerWithin: o.AnswerWithin}
+	set := drain.Settings{
+		FrontAfter: frontAfter, StopAfter: StopAfter, RefuseAfter: refuseAfter, AnswerWithin: o.AnswerWithin,
+		HeardFor: heardFor, RestWithin: restWithin, HalfFor: halfFor,
+	}
 	return &Desk{opt: o, state: drain.New(set)}
 }
 
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -44,6 +44,9 @@
 	leavingShare = 8
 	// acceptPause: after an accept that failed, out of descriptors say, the next one waits so long.
 	acceptPause = 10
+	// admitWithin: a connection that finds no place waits so long for one, in ms, and those behind it in the listener's queue. Longer
+	// answers more in a crowd, later.
+	admitWithin = 500
 	// newFor: one that is silent for so many ms is no client on the point of asking.
 	newFor = 100
 	// takeWithin: a client that has not taken what was written for it so many ms ago has given up all that it waited for.
--- a/internal/front/resp/guard.go
+++ b/internal/front/resp/guard.go
@@ -33,15 +33,13 @@
 		if err != nil && !errors.Is(err, net.ErrClosed) {
 			// Guards against redcon, which asks again at once: out of descriptors it would take the whole core, and what is
 			// open could not end and give some back.
-			over := make(chan struct{})
-			g.front.clock.After(acceptPause, func() { close(over) })
-			<-over
+			g.front.pause(acceptPause)
 			continue
 		}
 		if err != nil {
 			return nil, err
 		}
-		if held, ok := g.front.admit(nc); ok {
+		if held, ok := g.front.admitSoon(nc); ok {
 			return held, nil
 		}
 		g.front.core.Unanswered()
@@ -49,6 +47,23 @@
 	}
 }
 
+// admitSoon books a new connection as soon as there is a place for it. Guards against an instant in which each connection that
+// is held waits for an answer or has a request unread: the one that comes has been accepted, and what it asks is owed.
+func (f *Front) admitSoon(nc net.Conn) (held *guard, ok bool) {
+	for end := f.clock.Now() + admitWithin; ; f.pause(acceptPause) {
+		if held, ok = f.admit(nc); ok || f.clock.Now() >= end {
+			return held, ok
+		}
+	}
+}
+
+// pause waits for so many ms.
+func (f *Front) pause(ms float64) {
+	over := make(chan struct{})
+	f.clock.After(ms, func() { close(over) })
+	<-over
+}
+
 // guard hands on whole frames only. It guards redcon's reader, which panics on a bulk length near the
 // largest integer, spins on a large count and grows without bound: such bytes end the connection.
 type guard struct {
@@ -63,7 +78,7 @@
 	read   bool    // reading has ended
 	asked  bool    // a whole frame has come
 	half   bool    // the next one has begun
-	since  float64 // when it was accepted, when its last frame was whole, or when the next one began
+	since  float64 // when it was accepted, or when a read of it came last
 }
 
 // stage is where a client's connection stands. It goes one way.
@@ -161,9 +176,7 @@
 func (g *guard) mark(half bool) bool {
 	g.front.mu.Lock()
 	defer g.front.mu.Unlock()
-	if !half || g.asked && !g.half { // the first frame has its time from the accept on, however it trickles
-		g.since = g.front.clock.Now()
-	}
+	g.since = g.front.clock.Now() // some clients write slowly: a frame of which bytes come is no silence
 	if g.stage != serving {
 		return false // what comes now was not asked of a proxy that would answer it
 	}
--- a/internal/front/resp/places.go
+++ b/internal/front/resp/places.go
@@ -58,14 +58,14 @@
 		switch {
 		case g.client != nil && g.client.blocked(now):
 			go g.shut()
-		case (!g.asked || g.half) && now-g.since >= silentFor && g.leave():
+		case (!g.asked || g.half) && now-g.since >= silentFor && !g.unread() && g.leave():
 			f.dismiss(g)
 		}
 	}
 }
 
 // admit books a new connection. Guards against hundreds that say nothing, or asked once and stay: when all
-// places are taken, one makes room, but never one that is owed an answer.
+// places are taken, one makes room, but never one that is owed an answer or has sent what nobody has read yet.
 func (f *Front) admit(nc net.Conn) (*guard, bool) {
 	g := &guard{Conn: nc, front: f, since: f.clock.Now()}
 	g.buf.Most, g.buf.Keep = resp.MostAsked, keepIn
@@ -99,7 +99,7 @@
 		return cmp.Or(rank(a)-rank(b), cmp.Compare(a.since, b.since))
 	})
 	for _, g := range order {
-		if g.leave() {
+		if !g.unread() && g.leave() {
 			f.dismiss(g)
 			return true
 		}
