Calls that fail for a moment are made again, and blame no server

internal/transient names the failures of socket, connect and accept that pass. The hand-over's record is written later where its folder took nothing, also who owns and the socket to meet at.

--- a/cmd/ravenwheel/operator.go
+++ b/cmd/ravenwheel/operator.go
@@ -12,6 +12,7 @@
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/snmp"
 	"ravenwheel/internal/store"
+	"ravenwheel/internal/transient"
 	"ravenwheel/internal/upstream"
 )
 
@@ -61,7 +62,7 @@
 	follow.signed = front
 	go follow.run()
 	go func() {
-		if err := front.Serve(ln); err != nil {
+		if err := front.Serve(transient.Listener(ln)); err != nil {
 			log.Error("signed").Err(err).Msg("the signed front is lost")
 		}
 	}()
--- a/cmd/ravenwheel/place.go
+++ b/cmd/ravenwheel/place.go
@@ -12,6 +12,7 @@
 	"ravenwheel/internal/front/resp"
 	"ravenwheel/internal/handover"
 	"ravenwheel/internal/logs"
+	"ravenwheel/internal/transient"
 )
 
 // place is this process among those that may own its address, and the operators' way to it.
@@ -49,7 +50,7 @@
 	if p.hand != nil {
 		return p.hand.Ready(c)
 	}
-	ln, err := net.Listen("tcp", conf.Listen)
+	ln, err := transient.Listen(func() (net.Listener, error) { return net.Listen("tcp", conf.Listen) })
 	if err == nil {
 		p.desk.Owns(true)
 		p.desk.Accept(true)
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -33,6 +33,7 @@
 	"ravenwheel/internal/source/watch"
 	"ravenwheel/internal/state"
 	"ravenwheel/internal/store"
+	"ravenwheel/internal/transient"
 	"ravenwheel/policy"
 )
 
@@ -180,7 +181,7 @@
 
 // Serve answers until Close.
 func (a *Admin) Serve() {
-	if err := a.srv.Serve(a.ln); !errors.Is(err, http.ErrServerClosed) {
+	if err := a.srv.Serve(transient.Listener(a.ln)); !errors.Is(err, http.ErrServerClosed) {
 		a.opt.Log.Error("admin").Err(err).Msg("the operators' address is lost")
 	}
 }
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -5,7 +5,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 
 	"ravenwheel/internal/decide/serverlist"
 	"ravenwheel/internal/logs"
+	"ravenwheel/internal/transient"
 	"ravenwheel/policy"
 )
 
@@ -48,11 +48,11 @@
 
 // Listen opens the address.
 func Listen(addr string, d Desk, log *logs.Log) (*Console, error) {
-	ln, err := net.Listen("tcp", addr)
+	ln, err := transient.Listen(func() (net.Listener, error) { return net.Listen("tcp", addr) })
 	if err != nil {
 		return nil, fmt.Errorf("console: %w", err)
 	}
-	return &Console{ln: ln, desk: d, log: log}, nil
+	return &Console{ln: transient.Listener(ln), desk: d, log: log}, nil
 }
 
 // Addr is where it listens.
@@ -66,11 +66,7 @@
 	for {
 		nc, err := c.ln.Accept()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(10 * time.Millisecond) // out of descriptors: others are about to be given back
-			continue
+			return // closed
 		}
 		c.mu.Lock()
 		if len(c.held) >= mostHeld {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -210,12 +210,24 @@
 	}
 }
 
+// repair does what could not be done when it was due, as the folder took no writes: what is to be kept is kept, and whoever would
+// follow finds a socket to meet at.
+func (h *Hand) repair() {
+	_ = h.record.catchUp() // tried again at the next look
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.machine.Phase() == decide.Owning && h.meet == nil && !h.closed {
+		_ = h.publish()
+	}
+}
+
 // watch looks whether another process owns by now: one that found this one silent.
 func (h *Hand) watch() {
 	h.opt.Clock.After(watchEvery, func() {
 		if g := h.generation(); g > 0 {
 			h.tell(decide.Superseded{Generation: g})
 		}
+		h.repair()
 		h.watch()
 	})
 }
--- a/internal/handover/listener.go
+++ b/internal/handover/listener.go
@@ -8,6 +8,8 @@
 	"syscall"
 
 	"golang.org/x/sys/unix"
+
+	"ravenwheel/internal/transient"
 )
 
 // tryLock takes the lock if nobody holds it. It is bound to the open file: passed on, two processes hold the one.
@@ -17,7 +19,10 @@
 	}
 	f, err := os.OpenFile(h.base+".lock", os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
-		h.fail(err)
+		// Guards against a process that refuses to start as the folder takes nothing for a while: it is tried again.
+		if !transient.Is(err) && !transient.Full(err) {
+			h.fail(err)
+		}
 		return false
 	}
 	if err := unix.Flock(int(f.Fd()), unix.LOCK_EX|unix.LOCK_NB); err != nil {
@@ -34,7 +39,7 @@
 		cerr := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) })
 		return errors.Join(cerr, err)
 	}}
-	ln, err := lc.Listen(context.Background(), "tcp", h.opt.Listen)
+	ln, err := transient.Listen(func() (net.Listener, error) { return lc.Listen(context.Background(), "tcp", h.opt.Listen) })
 	if err != nil {
 		return err
 	}
--- a/internal/handover/record.go
+++ b/internal/handover/record.go
@@ -34,6 +34,8 @@
 	clock *clock.Clock
 	mu    sync.Mutex
 	kept  kept
+	// behind: the file does not say yet what kept says, as it could not be written. See catchUp.
+	behind bool
 }
 
 type kept struct {
@@ -142,6 +144,16 @@
 	return generation, r.replaceFile(next)
 }
 
+// catchUp writes what could not be written when it was told.
+func (r *record) catchUp() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.behind {
+		return nil
+	}
+	return r.write(r.kept)
+}
+
 const (
 	claimTries = 20
 	claimPause = 5 * time.Millisecond
@@ -189,6 +201,9 @@
 	defer r.mu.Unlock()
 	name := serverlist.Name(id)
 	if slices.Contains(r.kept.Out, name) == out {
+		if r.behind {
+			return r.write(r.kept)
+		}
 		return nil
 	}
 	next := kept{Generation: r.kept.Generation, Back: map[string]float64{}}
@@ -230,13 +245,16 @@
 }
 
 // write replaces the record. Guards against an owner that was stopped and wakes up late: it finds a higher generation.
+// What can't be written is in force in this process's memory, and written later.
 func (r *record) write(next kept) error {
 	done, err := r.alone()
 	if err != nil {
+		r.kept, r.behind = next, true
 		return err
 	}
 	defer done()
 	if now, err := r.read(); err == nil && now.Generation > next.Generation {
+		r.behind = false // it is for the owner to keep
 		return errFenced
 	}
 	return r.replaceFile(next)
@@ -251,8 +269,6 @@
 	if err = os.WriteFile(part, text, 0o600); err == nil {
 		err = os.Rename(part, r.path)
 	}
-	if err == nil {
-		r.kept = next
-	}
+	r.kept, r.behind = next, err != nil
 	return err
 }
--- a/internal/handover/socket.go
+++ b/internal/handover/socket.go
@@ -1,10 +1,12 @@
 package handover
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -54,13 +56,20 @@
 	return nil
 }
 
+// acceptPause: after an accept that failed the next one waits so long.
+const acceptPause = 10 * time.Millisecond
+
 // welcome takes in those that would follow.
 func (h *Hand) welcome(ln *net.UnixListener) {
 	for {
 		nc, err := ln.AcceptUnix()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil { // out of descriptors, say: others are about to be given back
+			time.Sleep(acceptPause)
+			continue
+		}
 		h.mu.Lock()
 		if len(h.peers) >= mostFollow || !sameUser(nc) {
 			h.mu.Unlock()
@@ -125,7 +134,7 @@
 	}
 	h.orders.Lock()
 	defer h.orders.Unlock()
-	if err := h.record.put(id, m.On, h.opt.Clock.Now()); err != nil {
+	if err := h.record.put(id, m.On, h.opt.Clock.Now()); errors.Is(err, errFenced) {
 		h.record.note(id, m.On)
 	}
 	if h.out != nil {
--- a/internal/snmp/agent.go
+++ b/internal/snmp/agent.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/gosnmp/gosnmp"
 
@@ -45,6 +46,9 @@
 // New returns an agent for one community.
 func New(community string, scalars []Scalar) *Agent { return &Agent{community, scalars} }
 
+// readPause: after a read that failed the next one waits so long.
+const readPause = 10 * time.Millisecond
+
 // Serve answers until the socket is closed. What can't be read, and what names another community, gets no
 // answer.
 func (a *Agent) Serve(pc net.PacketConn) error {
@@ -53,8 +57,10 @@
 		n, from, err := pc.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return nil
-		} else if err != nil {
-			return err
+		}
+		if err != nil { // of one datagram, or for want of memory: the agent goes on
+			time.Sleep(readPause)
+			continue
 		}
 		if out := a.answer(buf[:n]); out != nil {
 			_, _ = pc.WriteTo(out, from)
--- a/internal/store/link.go
+++ b/internal/store/link.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"ravenwheel/internal/transient"
 )
 
 // Link is a connection between two members of a cluster on which each sends frames as it has them: the certificates and the
@@ -49,7 +51,7 @@
 // ListenLinks opens an address for so many links at once. Each has take called, in a goroutine of its own, and is closed
 // when that returns.
 func ListenLinks(id *Identity, ln net.Listener, most int, take func(*Link)) *Links {
-	w := &wire{ln: ln, id: id, most: most, links: take, done: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	w := &wire{ln: transient.Listener(ln), id: id, most: most, links: take, done: make(chan struct{}), conns: map[net.Conn]struct{}{}}
 	go w.run()
 	return &Links{w}
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -24,6 +24,7 @@
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/decide/replica"
 	"ravenwheel/internal/decide/retry"
+	"ravenwheel/internal/transient"
 )
 
 // What a change can meet. ErrUnavailable: it surely did not happen. ErrUnknown, which is an ErrUnavailable too: it may
@@ -141,6 +142,7 @@
 	if err != nil {
 		return err
 	}
+	ln = transient.Listener(ln)
 	s.wire = &wire{
 		ln: ln, id: s.opt.Identity, dial: s.opt.Dial, serve: s.serve, wait: s.opt.Timeout, stream: make(chan net.Conn),
 		most: mostConns, done: make(chan struct{}), conns: map[net.Conn]struct{}{},
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,6 +13,7 @@
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/invariant"
 	"ravenwheel/internal/resp"
+	"ravenwheel/internal/transient"
 	"ravenwheel/policy"
 )
 
@@ -179,16 +180,27 @@
 	}
 }
 
+// ownRedials: how often, and after what pause in ms, a connection is tried again that failed for want of something of this
+// machine's own. What waits for it moves on to another server then.
+const ownRedials, ownPause = 5, 10
+
 // dial brings the connection up. Guards against a peer that resets it while it is new: someone listens there,
 // and to call that a failed connection would take a sound cache server out.
 func (k *conn) dial() (nc net.Conn, err error) {
-	for range 1 + redials {
+	for resets, own := 0, 0; ; {
 		nc, err = k.pool.all.limits.Load().Dial("tcp", k.pool.addr, clock.Duration(k.pool.all.limits.Load().Connect))
-		if !errors.Is(err, syscall.ECONNRESET) {
-			break
+		switch {
+		case errors.Is(err, syscall.ECONNRESET) && resets < redials:
+			resets++
+		case transient.Is(err) && own < ownRedials:
+			own++
+			over := make(chan struct{})
+			k.pool.all.clock.After(ownPause, func() { close(over) })
+			<-over
+		default:
+			return nc, err
 		}
 	}
-	return nc, err
 }
 
 func (k *conn) run() {
@@ -203,8 +215,9 @@
 		var late net.Error
 		// Guards against a cache server that holds few connections, or whose new ones come up late: with others of ours up,
 		// or answering meanwhile, it is there. Taken as one that could not be reached, it was passed over for seconds and
-		// came back as cold.
-		if ours(err) || errors.Is(err, syscall.ECONNRESET) && k.pool.up() || errors.As(err, &late) && late.Timeout() && k.pool.heardSince(began) {
+		// came back as cold. Nor does a failure of this machine's own say who listens there: out of descriptors, one sound cache server
+		// after another was taken for dead.
+		if transient.Is(err) || errors.Is(err, syscall.ECONNRESET) && k.pool.up() || errors.As(err, &late) && late.Timeout() && k.pool.heardSince(began) {
 			result = policy.Moot
 		}
 		k.end(result, result)
@@ -242,18 +255,6 @@
 	}
 }
 
-// ours tells whether a connection could not be made for want of something of this machine's own: descriptors, ports or memory.
-// It says nothing of who listens there. Guards against a proxy that, out of descriptors, takes one sound cache server after
-// another for dead.
-func ours(err error) bool {
-	for _, want := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
-		if errors.Is(err, want) {
-			return true
-		}
-	}
-	return false
-}
-
 // rawOf gives the socket of a connection that was dialled, which is not kept where it has none.
 func rawOf(nc net.Conn) (raw syscall.RawConn, err error) {
 	if sc, ok := nc.(syscall.Conn); ok {
