A client's leave that is unread while an answer asks for another attempt: failing test

The reader is held up; the client closes or resets, and its server answers that it crashed: a second attempt begins for a client that has gone.

--- /dev/null
+++ b/internal/front/resp/gone_test.go
@@ -0,0 +1,75 @@
+package resp_test
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	frames "ravenwheel/internal/resp"
+	"ravenwheel/internal/scenario"
+)
+
+// The process is held up, and what it finds as it goes on is a request with its client's leave right behind it: the end of the
+// connection, a reset, or a cancel. No attempt begins for a client that has left, and none further where an answer has come
+// meanwhile that asks for one.
+func TestLeaveBehindARequest(t *testing.T) {
+	call := frames.Append(nil, strings.Fields(asset)...)
+	for name, leave := range map[string]func(nc *net.TCPConn) error{
+		"closes": (*net.TCPConn).Close,
+		"resets": func(nc *net.TCPConn) error { _ = nc.SetLinger(0); return nc.Close() },
+		"cancels": func(nc *net.TCPConn) error {
+			_, err := nc.Write(frames.Append(nil, "RPC.CANCEL", "1"))
+			return err
+		},
+	} {
+		t.Run("first attempt, "+name, func(t *testing.T) {
+			p := scenario.NewProxy(t)
+			f, gate := gatedFront(t, p, 10)
+			for range 50 { // the order of goroutines is chance
+				nc, err := net.Dial("tcp", f.Addr())
+				require.NoError(t, err)
+				asked := gate.taken.Load()
+				_, err = nc.Write(frames.Append(nil, "RPC.HEALTH", "9"))
+				require.NoError(t, err)
+				require.Eventually(t, func() bool { return gate.wanted.Load() > asked && f.Idle() }, time.Minute, time.Millisecond)
+				gate.mu.Lock()
+				_, err = nc.Write(call)
+				require.NoError(t, err)
+				require.NoError(t, leave(nc.(*net.TCPConn)))
+				time.Sleep(time.Millisecond)
+				gate.mu.Unlock()
+				if name == "cancels" {
+					require.Eventually(t, func() bool { return f.Idle() && gate.wanted.Load() >= asked+int64(len(call)) }, time.Minute, 100*time.Microsecond)
+					require.NoError(t, nc.Close())
+				}
+				require.Eventually(t, func() bool { return f.Held() == 0 && f.Idle() }, time.Minute, 100*time.Microsecond)
+				require.Zero(t, p.Core.Counters.Attempts.Load(), "its client had left by the time it was read")
+			}
+		})
+		if name == "cancels" {
+			continue
+		}
+		t.Run("further attempt, "+name, func(t *testing.T) {
+			p := scenario.NewProxy(t)
+			f, gate := gatedFront(t, p, 10)
+			nc, err := net.Dial("tcp", f.Addr())
+			require.NoError(t, err)
+			_, err = nc.Write(call)
+			require.NoError(t, err)
+			actors := map[string]scenario.Actor{"s": p.Cache}
+			scenario.Run(t, p.Clock, actors, `
+				s expect fetch 00000000000000a1 * -`)
+			gate.mu.Lock()
+			require.NoError(t, leave(nc.(*net.TCPConn)))
+			time.Sleep(time.Millisecond)
+			scenario.Run(t, p.Clock, actors, `
+				s send 00000000000000a1 crashed`)
+			require.Eventually(t, func() bool { return p.Core.Counters.Open.Load() == 0 || p.Core.Counters.Attempts.Load() > 1 }, 10*time.Second, time.Millisecond)
+			gate.mu.Unlock()
+			require.EqualValues(t, 1, p.Core.Counters.Attempts.Load())
+		})
+	}
+}
