No attempt begins for a client whose end has come, read or not

Requests begin once the reader finds nothing more in the socket, and core asks the client's socket (TCP_INFO: the peer's end, or a reset) before each attempt, upstream again as its first byte goes out.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,8 +29,12 @@
 	Body     []byte  // of a write
 	Deadline float64 // Unix ms at which the client gives up
 	SendBy   float64 // no attempt starts later; 0: no such bound
+	// Left tells whether the client has gone, though its front may not have read that yet; nil: what ctx says is all there is.
+	Left func() bool
 }
 
+func (q *Request) left() bool { return q.Left != nil && q.Left() }
+
 // Verdict is the kind of a final answer.
 type Verdict int
 
@@ -66,8 +70,9 @@
 	Age    float64        // ms; 0: the class's fresh time
 	Keep   int
 	How    policy.How
-	SendBy float64 // Unix ms: past it the decision is too old, and the attempt must not be written
-	Once   bool    // it may not be repeated: what breaks off under it is lost
+	SendBy float64     // ms on the clock: past it the decision is too old, and the attempt must not be written
+	Left   func() bool // whether the client has gone; nil: not known
+	Once   bool        // it may not be repeated: what breaks off under it is lost
 }
 
 // End is how an attempt ended.
@@ -240,7 +245,7 @@
 		case e = <-l.in:
 		}
 		// Looked at again: with both there, an attempt would begin for a client that has left.
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || begins(e) && q.left() {
 			l.unread = e
 			c.tell(policy.ClientLeft{ID: q.ID})
 			return c.final(l, Answer{Verdict: Gone})
@@ -276,6 +281,15 @@
 	}
 }
 
+// begins tells whether an action of the module's begins an attempt.
+func begins(e any) bool {
+	switch e.(type) {
+	case policy.Ask, policy.Get:
+		return true
+	}
+	return false
+}
+
 func (l *life) at(no int) *attempt {
 	if no < 0 || no >= len(l.attempts) {
 		return nil
@@ -398,7 +412,7 @@
 	a.abort = c.up.Send(Attempt{
 		ID: l.q.ID, Class: c.classes[l.q.Class], Object: l.q.Object, Part: l.q.Part, Holds: l.q.Holds, Key: l.q.Key,
 		Body: l.q.Body, To: g.Cache, Source: g.Source, Until: now + ttl, Age: clock.Ms(g.Age), Keep: g.Keep, How: g.How,
-		SendBy: sendBy, Once: class.Effect == policy.Unsafe,
+		SendBy: sendBy, Left: l.q.Left, Once: class.Effect == policy.Unsafe,
 	}, func(e End) { l.in <- ended{no, e} })
 }
 
--- a/internal/front/resp/call.go
+++ b/internal/front/resp/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"math"
 	"regexp"
 	"strconv"
@@ -37,6 +38,14 @@
 	return err == nil
 }
 
+// call is a request that was read and does not live yet.
+type call struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	tag    string
+	q      core.Request
+}
+
 // readCall reads class, fields and body of a call that came at now. ok is false if any can't be used: no
 // such request may reach the module or a cache.
 func readCall(args [][]byte, now float64, d Doer) (q core.Request, ok bool) {
--- a/internal/front/resp/client.go
+++ b/internal/front/resp/client.go
@@ -21,6 +21,8 @@
 	mu     sync.Mutex
 	out    []byte
 	open   map[string]context.CancelFunc // by tag
+	calls  []call                        // of the reader alone: read, and not begun
+	since  float64                       // when the first of these was read
 	writes float64                       // since when the writer has been about what is written now; 0: it is not
 	closed bool
 	wake   chan struct{}
@@ -33,10 +35,14 @@
 	err := error(nil)
 	for err == nil {
 		if err = c.command(ctx, cmd.Args); err == nil {
+			if len(c.calls) > 0 && (len(c.calls) >= mostOpen || c.front.clock.Now()-c.since >= beginWithin) {
+				c.begin() // a client that never stops to send
+			}
 			cmd, err = dc.ReadCommand()
 		}
 	}
 	leave()
+	c.begin() // each has to end, as any whose client has left
 	c.nc.finish()
 	c.close()
 }
@@ -69,7 +75,7 @@
 	return nil
 }
 
-// call opens a request and lets it live in a goroutine of its own.
+// call opens a request, which begins once all that has come is read.
 func (c *client) call(ctx context.Context, tag string, args [][]byte) error {
 	now, plan := c.front.clock.Now(), c.front.plan.Load()
 	q, ok := readCall(args, now, c.front.core)
@@ -103,21 +109,38 @@
 		return nil
 	}
 	c.front.busy.Add(1)
-	go func() {
-		defer c.front.busy.Add(-1)
-		defer cancel()
-		a := c.front.core.Do(ctx, q)
-		c.mu.Lock()
-		invariant.Check(c.open[tag] != nil, "a tag is answered once")
-		delete(c.open, tag)
-		c.mu.Unlock()
-		if a.Verdict != core.Gone {
-			c.send(func(b []byte) []byte { return appendAnswer(b, tag, a) })
-		}
-	}()
+	q.Left = c.nc.left
+	if len(c.calls) == 0 {
+		c.since = now
+	}
+	c.calls = append(c.calls, call{ctx, cancel, tag, q})
 	return nil
 }
 
+// begin has the requests that were read live, each in a goroutine of its own. It is called once nothing more has come. Guards
+// against a leave that is right behind a request: an attempt would begin for a client that has gone.
+func (c *client) begin() {
+	for _, k := range c.calls {
+		go c.lives(k)
+	}
+	clear(c.calls)
+	c.calls = c.calls[:0]
+}
+
+// lives answers one request.
+func (c *client) lives(k call) {
+	defer c.front.busy.Add(-1)
+	defer k.cancel()
+	a := c.front.core.Do(k.ctx, k.q)
+	c.mu.Lock()
+	invariant.Check(c.open[k.tag] != nil, "a tag is answered once")
+	delete(c.open, k.tag)
+	c.mu.Unlock()
+	if a.Verdict != core.Gone {
+		c.send(func(b []byte) []byte { return appendAnswer(b, k.tag, a) })
+	}
+}
+
 // word is an answer that is no more than that.
 func word(tag, w string) func([]byte) []byte {
 	return func(b []byte) []byte { return resp.Append(b, tag, w) }
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -44,6 +44,8 @@
 	leavingShare = 8
 	// acceptPause: after an accept that failed, out of descriptors say, the next one waits so long.
 	acceptPause = 10
+	// beginWithin: a request begins so many ms after it was read, though more comes from its client all the time.
+	beginWithin = 5
 	// admitWithin: a connection that finds no place waits so long for one, in ms, and those behind it in the listener's queue. Longer
 	// answers more in a crowd, later.
 	admitWithin = 500
--- a/internal/front/resp/guard.go
+++ b/internal/front/resp/guard.go
@@ -161,13 +161,17 @@
 // onlyRead hides what else a connection can do: to be read from by splice is refused on the larger fleet's platform.
 type onlyRead struct{ io.Reader }
 
-// halves reads for the guard's buffer, and notes that half a frame has come whenever more is waited for.
+// halves reads for the guard's buffer. Whenever more is waited for it notes that half a frame has come, and has what was read
+// begin.
 type halves struct{ g *guard }
 
 func (h halves) Read(p []byte) (int, error) {
 	if h.g.buf.Held() > 0 {
 		h.g.mark(true)
 	}
+	if c := h.g.client; c != nil && len(c.calls) > 0 && !h.g.unread() && !h.g.left() {
+		c.begin()
+	}
 	return h.g.Conn.Read(p)
 }
 
@@ -215,17 +219,32 @@
 
 // unread tells whether bytes have come that nobody has read.
 func (g *guard) unread() (some bool) {
+	g.socket(func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// left tells whether the client has ended the connection, though its end may be unread behind bytes or a reader that is held up.
+// Guards against an attempt that begins for a client that has gone.
+func (g *guard) left() (gone bool) {
+	gone = !g.socket(func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.SOL_TCP, unix.TCP_INFO)
+		gone = err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+	}) || gone
+	return gone
+}
+
+// socket hands f the connection's socket; ok is false where it is closed.
+func (g *guard) socket(f func(fd int)) (ok bool) {
 	sc, ok := g.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return true // none, as in tests
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
 		return false
 	}
-	_ = raw.Control(func(fd uintptr) {
-		n, err := unix.IoctlGetInt(int(fd), unix.TIOCINQ)
-		some = err == nil && n > 0
-	})
-	return some
+	return raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -309,10 +309,12 @@
 	return true, k.closed && len(k.open) == 0, nil
 }
 
-// drop takes from the queue what is not to be written any more.
+// drop takes from the queue what is not to be written any more: what was given up, what was decided too long ago, and what a
+// client wanted that has gone meanwhile.
 func (k *conn) drop(now float64) {
 	k.queue = slices.DeleteFunc(k.queue, func(c *call) bool {
-		if sendBy := c.attempt.SendBy; !c.over && sendBy > 0 && now > sendBy {
+		late := c.attempt.SendBy > 0 && now > c.attempt.SendBy
+		if !c.over && (late || c.attempt.Left != nil && c.attempt.Left()) {
 			c.over = true
 			delete(k.open, c.attempt.ID)
 			go c.finish(core.End{Result: policy.Moot})
