--- /dev/null
+++ b/cmd/ravenwheel/overlay_test.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The environment of a program that was built by buildOverlaid.
+const (
+	// Its wall clock steps by so many seconds, so many ms after its start.
+	steppedBy    = "RAVENWHEEL_TEST_STEP_S"
+	steppedAfter = "RAVENWHEEL_TEST_STEP_AFTER_MS"
+	// So many of 1,000 calls fail for a moment, as a seed draws them; reads are short, and broken connections show differently.
+	faultsOf1000 = "RAVENWHEEL_TEST_FAULTS"
+	faultSeed    = "RAVENWHEEL_TEST_FAULT_SEED"
+)
+
+// replacement is a place in a file of the toolchain's and what stands there in its copy.
+type replacement struct{ file, old, new string }
+
+// overlaid are the places in which the program under test differs from the product: calls that the system may answer with a
+// failure, and the wall clock. The monotonic clock runs on.
+var overlaid = []replacement{
+	{"time/time.go", "\tsec, nsec, mono := runtimeNow()\n\tif mono == 0 {",
+		"\tsec, nsec, mono := runtimeNow()\n\tif mono-startNano >= stepAfter {\n\t\tsec += stepBy\n\t}\n\tif mono == 0 {"},
+	{"time/time.go", "import (\n", "import (\n\t\"syscall\"\n"},
+	{"time/time.go", "\n// A Time represents an instant", fmt.Sprintf(`
+var (
+	stepBy    = int64(syscall.FaultNumber(%q))
+	stepAfter = int64(syscall.FaultNumber(%q)) * 1_000_000
+)
+
+// A Time represents an instant`, steppedBy, steppedAfter)},
+	{"net/hook_unix.go", "= syscall.Socket\n", "= syscall.FaultSocket\n"},
+	{"net/hook_unix.go", "= syscall.Connect\n", "= syscall.FaultConnect\n"},
+	{"internal/poll/hook_cloexec.go", "= syscall.Accept4\n", "= syscall.FaultAccept4\n"},
+	{"internal/poll/fd_unix.go", "\t\tn, err := ignoringEINTRIO(syscall.Read, fd.Sysfd, p)\n", "\t\tn, err := ignoringEINTRIO(syscall.FaultRead, fd.Sysfd, p)\n"},
+}
+
+// faults is added to package syscall. It draws from one seed, call by call.
+const faults = `package syscall
+
+import "sync/atomic"
+
+// FaultNumber reads a number of the environment; 0: there is none.
+func FaultNumber(name string) (n int) {
+	text, _ := Getenv(name)
+	sign := 1
+	for _, c := range []byte(text) {
+		if c == '-' {
+			sign = -1
+		} else {
+			n = n*10 + int(c-'0')
+		}
+	}
+	return sign * n
+}
+
+var (
+	faultOf    = uint64(FaultNumber("RAVENWHEEL_TEST_FAULTS"))
+	faultDrawn atomic.Uint64
+	faultSeed  = uint64(FaultNumber("RAVENWHEEL_TEST_FAULT_SEED"))
+)
+
+// faultDraw is the next number of the seed's (splitmix64).
+func faultDraw() uint64 {
+	x := faultSeed + faultDrawn.Add(1)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func faulty(kinds ...Errno) error {
+	if faultOf == 0 || faultDraw()%1000 >= faultOf {
+		return nil
+	}
+	return kinds[faultDraw()%uint64(len(kinds))]
+}
+
+func FaultSocket(domain, typ, proto int) (int, error) {
+	if err := faulty(ENFILE, EMFILE, ENOBUFS, ENOMEM); err != nil {
+		return -1, err
+	}
+	return Socket(domain, typ, proto)
+}
+
+func FaultConnect(fd int, sa Sockaddr) error {
+	if err := faulty(EADDRNOTAVAIL, ENETUNREACH, ECONNABORTED, ENOBUFS); err != nil {
+		return err
+	}
+	return Connect(fd, sa)
+}
+
+func FaultAccept4(fd, flags int) (int, Sockaddr, error) {
+	if err := faulty(ECONNABORTED, ENFILE, ENOBUFS, EINTR, EPROTO); err != nil {
+		return -1, nil, err
+	}
+	return Accept4(fd, flags)
+}
+
+func FaultRead(fd int, p []byte) (int, error) {
+	if err := faulty(EINTR); err != nil {
+		return -1, err
+	}
+	if faultOf > 0 && len(p) > 1 && faultDraw()%4 == 0 {
+		p = p[:1+faultDraw()%uint64(len(p)-1)]
+	}
+	n, err := Read(fd, p)
+	if faultOf > 0 && err == ECONNRESET {
+		err = [...]error{ECONNRESET, ETIMEDOUT, EHOSTUNREACH}[faultDraw()%3]
+	}
+	return n, err
+}
+`
+
+// buildOverlaid builds the program over copies of the toolchain's own files, made now, in which calls fail and the wall clock
+// steps as the environment says. Nothing of it is in the product.
+func buildOverlaid(t *testing.T) string {
+	out, err := exec.Command("go", "env", "GOROOT").Output()
+	require.NoError(t, err)
+	source, dir := filepath.Join(strings.TrimSpace(string(out)), "src"), t.TempDir()
+	files := map[string]string{filepath.Join(source, "syscall", "fault_overlay.go"): faults}
+	for _, r := range overlaid {
+		path := filepath.Join(source, r.file)
+		if files[path] == "" {
+			text, err := os.ReadFile(path)
+			require.NoError(t, err)
+			files[path] = string(text)
+		}
+		require.Equal(t, 1, strings.Count(files[path], r.old), "%s of this toolchain has another form", r.file)
+		files[path] = strings.Replace(files[path], r.old, r.new, 1)
+	}
+	replace := map[string]string{}
+	for path, text := range files {
+		replace[path] = filepath.Join(dir, strings.ReplaceAll(strings.TrimPrefix(path, source+"/"), "/", "_"))
+		require.NoError(t, os.WriteFile(replace[path], []byte(text), 0o600))
+	}
+	raw, err := json.Marshal(map[string]any{"Replace": replace})
+	require.NoError(t, err)
+	overlay, bin := filepath.Join(dir, "overlay.json"), filepath.Join(dir, "ravenwheel")
+	require.NoError(t, os.WriteFile(overlay, raw, 0o600))
+	out, err = exec.Command("go", "build", "-overlay", overlay, "-o", bin, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return bin
+}
--- /dev/null
+++ b/cmd/ravenwheel/soak_client_test.go
@@ -0,0 +1,309 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"ravenwheel/internal/lab/fleet"
+	"ravenwheel/internal/resp"
+)
+
+// soakKind is how a client behaves.
+type soakKind int
+
+// The kinds of client, by turns. Restless: never at rest, up to three requests open; resting: asks now and then on one connection;
+// fresh: a connection for each request; leaving: closes or cancels early; slow: writes in pieces.
+const (
+	restlessKind soakKind = iota
+	restingKind
+	freshKind
+	leavingKind
+	slowKind
+	soakKinds
+)
+
+// soakClient is one client, with one connection at a time.
+type soakClient struct {
+	s    *soak
+	n    int
+	kind soakKind
+	rng  *rand.Rand
+
+	nc    *net.TCPConn
+	tag   int
+	mu    sync.Mutex
+	open  map[string]*soakRequest // by tag
+	ended chan struct{}           // of the connection
+	gone  bool                    // the connection has ended
+	some  chan struct{}           // an answer came
+	asked int
+}
+
+func newSoakClient(s *soak, n int, rng *rand.Rand) *soakClient {
+	return &soakClient{s: s, n: n, kind: soakKind(n) % soakKinds, rng: rng, some: make(chan struct{}, 1)}
+}
+
+// run asks until the process has ended, or takes no connections any more.
+func (c *soakClient) run() {
+	for {
+		select {
+		case <-c.s.over:
+			c.hangUp()
+			return
+		default:
+		}
+		if c.nc == nil && !c.dial() {
+			select {
+			case <-c.s.over:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			continue
+		}
+		select {
+		case <-c.ended:
+			c.nc = nil
+			continue
+		default:
+		}
+		c.turn()
+	}
+}
+
+// dial connects, while new connections come: until 0.3 s after SIGTERM.
+func (c *soakClient) dial() bool {
+	if at := c.s.termAt.Load(); at > 0 && time.Since(time.UnixMicro(at)) > 300*time.Millisecond {
+		return false
+	}
+	nc, err := net.DialTimeout("tcp", c.s.listen, time.Second)
+	if err != nil {
+		return false
+	}
+	c.nc, c.tag, c.open, c.ended, c.gone = nc.(*net.TCPConn), 0, map[string]*soakRequest{}, make(chan struct{}), false
+	go c.read(c.nc, c.open, c.ended)
+	return true
+}
+
+// read takes answers until the connection ends.
+func (c *soakClient) read(nc *net.TCPConn, open map[string]*soakRequest, ended chan struct{}) {
+	defer close(ended)
+	defer nc.Close()
+	buf := resp.Buffer{Most: resp.MostAnswered}
+	for {
+		parts, _, err := buf.Next(nc)
+		now := c.s.now()
+		c.mu.Lock()
+		if err != nil {
+			c.gone = true
+			for _, q := range open {
+				q.ended = now
+			}
+			c.mu.Unlock()
+			return
+		}
+		q := open[string(parts[0])]
+		delete(open, string(parts[0]))
+		c.mu.Unlock()
+		if q == nil {
+			c.s.fail("client %d got an answer that it does not wait for: %q", c.n, parts[:2])
+			continue
+		}
+		q.answered, q.word = now, string(parts[1])
+		if q.word == "ok" && q.class == "asset" {
+			if _, err := fleet.Check(parts[3], q.object, 0); err != nil {
+				c.s.fail("client %d: %v", c.n, err)
+			}
+		}
+		if q.word == "full" && q.object[15]%4 > 0 { // one in four clients does not heed it
+			time.Sleep(5 * time.Millisecond)
+		}
+		select {
+		case c.some <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// waiting is how many requests are open.
+func (c *soakClient) waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
+// turn asks once, and does then what the client's kind does.
+func (c *soakClient) turn() {
+	switch c.kind {
+	case restlessKind:
+		if c.waiting() < 3 {
+			c.ask(1)
+			return
+		}
+		c.await(time.Second)
+	case restingKind:
+		c.ask(1)
+		for c.waiting() > 0 && c.await(time.Second) {
+		}
+		time.Sleep(time.Duration(c.rng.IntN(300)) * time.Millisecond)
+	case freshKind:
+		c.ask(1)
+		for c.waiting() > 0 && c.await(time.Second) {
+		}
+		c.hangUp()
+	case leavingKind:
+		q, tag := c.ask(1)
+		time.Sleep(time.Duration(c.rng.IntN(30)) * time.Millisecond)
+		if c.rng.IntN(2) == 0 {
+			c.hangUp()
+		} else if q != nil {
+			c.cancel(q, tag)
+		}
+	case slowKind:
+		c.ask(2 + c.rng.IntN(4))
+		for c.waiting() > 0 && c.await(time.Second) {
+		}
+	}
+}
+
+// await waits for an answer; it tells whether there may be more to wait for.
+func (c *soakClient) await(most time.Duration) bool {
+	select {
+	case <-c.some:
+		return true
+	case <-c.ended:
+		return false
+	case <-time.After(most):
+		return true
+	}
+}
+
+// ask writes one request, in so many pieces.
+func (c *soakClient) ask(pieces int) (*soakRequest, string) {
+	c.tag++
+	c.asked++
+	tag, id := strconv.Itoa(c.tag), fmt.Sprintf("%04x%012x", c.n, c.asked)
+	q := &soakRequest{class: []string{"asset", "asset", "asset", "asset", "report", "claim"}[c.rng.IntN(6)], object: fmt.Sprintf("%016x", c.rng.IntN(200))}
+	share := map[string]float64{"asset": 1, "report": 0.9, "claim": 0.8}[q.class] * (0.5 + c.rng.Float64()/2)
+	q.budget = float64(int(float64(c.s.plan.deadline.Milliseconds()) * share))
+	fields := fmt.Sprintf("rid=%s,budget=%.0f,obj=%s,nth=0,batch=%d", id, q.budget, q.object, fleet.Group(q.object))
+	body := ""
+	if q.class != "asset" {
+		body = "x"
+	}
+	if q.class == "report" {
+		fields += ",token=k" + id
+	}
+	frame := resp.Append(nil, "RPC.CALL", tag, q.class, fields, body)
+	c.mu.Lock()
+	c.open[tag] = q
+	c.mu.Unlock()
+	for i := range pieces {
+		from, to := len(frame)*i/pieces, len(frame)*(i+1)/pieces
+		if i == pieces-1 {
+			q.sent = c.s.now()
+		}
+		if _, err := c.nc.Write(frame[from:to]); err != nil {
+			c.drop(tag)
+			return nil, ""
+		}
+		if i < pieces-1 {
+			select {
+			case <-c.ended: // it has not been taken
+				c.drop(tag)
+				return nil, ""
+			case <-time.After(time.Duration(20+c.rng.IntN(400)) * time.Millisecond):
+			}
+		}
+	}
+	c.mu.Lock()
+	if c.gone && q.answered == 0 && q.ended == 0 { // before it was written
+		q.ended = q.sent
+	}
+	c.mu.Unlock()
+	c.s.mu.Lock()
+	c.s.asked[id] = q
+	c.s.mu.Unlock()
+	return q, tag
+}
+
+func (c *soakClient) drop(tag string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, tag)
+}
+
+// cancel takes a request back.
+func (c *soakClient) cancel(q *soakRequest, tag string) {
+	c.mu.Lock()
+	_, open := c.open[tag]
+	c.mu.Unlock()
+	if !open {
+		return
+	}
+	if _, err := c.nc.Write(resp.Append(nil, "RPC.CANCEL", tag)); err != nil {
+		return
+	}
+	q.left = c.s.now()
+	time.Sleep(20 * time.Millisecond) // an answer may be on its way
+	c.drop(tag)
+}
+
+// hangUp closes the connection, which gives up what is open on it.
+func (c *soakClient) hangUp() {
+	if c.nc == nil {
+		return
+	}
+	c.mu.Lock()
+	now := c.s.now()
+	for _, q := range c.open {
+		q.left = now
+	}
+	c.mu.Unlock()
+	_ = c.nc.Close()
+	<-c.ended
+	c.nc = nil
+}
+
+// idleClients come at once, in a crowd, ask for nothing and stay; end closes them.
+func (s *soak) idleClients() (end func()) {
+	var conns []net.Conn
+	for range s.plan.crowd {
+		nc, err := net.DialTimeout("tcp", s.listen, time.Second)
+		if err != nil {
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				s.fail("one of a crowd could not connect: %v", err)
+			}
+			break
+		}
+		conns = append(conns, nc)
+	}
+	return func() {
+		for _, nc := range conns {
+			_ = nc.Close()
+		}
+	}
+}
+
+// healthy asks whether the process takes work.
+func healthy(listen string) (there bool, err error) {
+	nc, err := net.DialTimeout("tcp", listen, time.Second)
+	if err != nil {
+		return false, nil
+	}
+	defer nc.Close()
+	if _, err = nc.Write(resp.Append(nil, "RPC.HEALTH", "1")); err != nil {
+		return true, err
+	}
+	buf := resp.Buffer{Most: resp.MostAnswered}
+	parts, _, err := buf.Next(nc)
+	if err == nil && string(parts[1]) != "yes" {
+		err = fmt.Errorf("it says %s", parts[1])
+	}
+	return true, err
+}
--- /dev/null
+++ b/cmd/ravenwheel/soak_test.go
@@ -0,0 +1,408 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/lab/fleet"
+	"ravenwheel/policy"
+)
+
+// The soak of whole processes: each seed draws deadlines, effects, faults, signals and clients, and what clients and servers saw
+// is held against the pages. In CI a few seeds are played; SOAK_SEEDS=FIRST-LAST plays those, by hand.
+const (
+	soakFirst, soakLast = 1, 8
+	// soakAtOnce processes are played at a time.
+	soakAtOnce = 6
+)
+
+func TestSoakOfProcesses(t *testing.T) {
+	first, last := soakFirst, soakLast
+	if text := os.Getenv("SOAK_SEEDS"); text != "" {
+		from, to, _ := strings.Cut(text, "-")
+		var err error
+		first, err = strconv.Atoi(from)
+		require.NoError(t, err)
+		last, err = strconv.Atoi(to)
+		require.NoError(t, err)
+	}
+	bin := buildOverlaid(t)
+	room := make(chan struct{}, soakAtOnce)
+	t.Run("seeds", func(t *testing.T) {
+		for seed := first; seed <= last; seed++ {
+			t.Run(strconv.Itoa(seed), func(t *testing.T) {
+				t.Parallel()
+				room <- struct{}{}
+				defer func() { <-room }()
+				newSoak(t, bin, uint64(seed)).play()
+			})
+		}
+	})
+}
+
+// soak is one process among stand-ins.
+type soak struct {
+	t    *testing.T
+	rng  *rand.Rand
+	plan soakPlan
+
+	servers *fleet.Fleet
+	board   *fleet.Board
+	doors   []*fleet.Door
+	list    map[policy.CacheID]core.Member
+	config  string
+	listen  string
+	cmd     *exec.Cmd
+	logs    strings.Builder
+
+	clk      *clock.Clock
+	late     atomic.Int64 // ns by which this machine was late at the worst
+	mu       sync.Mutex
+	asked    map[string]*soakRequest
+	told     []fleet.Told
+	stalled  float64 // until when the board tells nothing
+	broken   []string
+	termAt   atomic.Int64 // Unix µs of the first SIGTERM; 0: not yet
+	killedAt atomic.Int64 // and of the kill, or of the process's own end
+	killed   atomic.Bool
+	over     chan struct{}
+}
+
+// soakPlan is what a seed draws before the start.
+type soakPlan struct {
+	deadline time.Duration // the longest
+	window   time.Duration // of the keyed class
+	faults   int           // of 1,000 calls
+	stepS    int           // by which the wall clock steps, and when
+	stepAt   time.Duration
+	crowd    int // idle clients
+	terms    int // SIGTERMs
+	runs     time.Duration
+}
+
+// soakRequest is one request as its client knows it. Times are in ms on the soak's clock.
+type soakRequest struct {
+	class    string
+	object   string
+	sent     float64 // when its last byte was written
+	budget   float64
+	answered float64 // 0: not yet
+	word     string
+	left     float64 // when its client cancelled it or closed; 0: it did not
+	ended    float64 // when its connection ended without an answer
+}
+
+const soakSockets, soakCaches = 256, 3
+
+func newSoak(t *testing.T, bin string, seed uint64) *soak {
+	s := &soak{
+		t: t, rng: rand.New(rand.NewPCG(seed, 38)), clk: clock.System(), asked: map[string]*soakRequest{},
+		list: map[policy.CacheID]core.Member{}, over: make(chan struct{}),
+	}
+	pick := func(list ...time.Duration) time.Duration { return list[s.rng.IntN(len(list))] }
+	s.plan = soakPlan{
+		deadline: pick(300*time.Millisecond, 500*time.Millisecond, time.Second, 3*time.Second), terms: 1 + s.rng.IntN(4),
+		window: pick(300*time.Millisecond, time.Second, 5*time.Second), runs: time.Duration(2500+s.rng.IntN(2500)) * time.Millisecond,
+		faults: []int{0, 10, 50}[s.rng.IntN(3)], stepS: []int{0, -3600, 3600, -7, 7}[s.rng.IntN(5)], crowd: []int{0, 0, 300}[s.rng.IntN(3)],
+		stepAt: time.Duration(1000+s.rng.IntN(2500)) * time.Millisecond,
+	}
+	s.servers = fleet.New(fleet.Options{
+		Clock: s.clk, Serve: float64(2 + s.rng.IntN(20)), Fill: float64(2 + s.rng.IntN(20)), PurgeTakes: 6000, Window: clock.Ms(s.plan.window),
+	})
+	t.Cleanup(s.servers.Close)
+	members := []core.Member{}
+	for id := range soakCaches + 2 {
+		members = append(members, s.start(policy.CacheID(id+1)))
+	}
+	s.board = fleet.NewBoard(s.clk, []string{"z"}, []string{"small", "parent", "origin"}, members)
+	for range 2 {
+		d, err := s.board.Open("127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(d.Close)
+		s.doors = append(s.doors, d)
+	}
+	s.listen = freeAddr(t)
+	s.config = filepath.Join(t.TempDir(), "config.json")
+	s.write(0)
+	s.cmd = exec.Command(bin)
+	s.cmd.Env = append(os.Environ(), "LB_CONFIG="+s.config, "TMPDIR="+t.TempDir(),
+		fmt.Sprintf("%s=%d", steppedBy, s.plan.stepS), fmt.Sprintf("%s=%d", steppedAfter, s.plan.stepAt.Milliseconds()),
+		fmt.Sprintf("%s=%d", faultsOf1000, s.plan.faults), fmt.Sprintf("%s=%d", faultSeed, seed))
+	s.cmd.Stderr = &s.logs
+	return s
+}
+
+// start brings up a server: caches first, then a parent and the origin.
+func (s *soak) start(id policy.CacheID) core.Member {
+	role := fleet.Role(max(0, int(id)-soakCaches))
+	server, err := s.servers.Start(id, role, "127.0.0.1:0")
+	require.NoError(s.t, err)
+	m := core.Member{Addr: server.Addr()}
+	m.ID, m.Kind, m.Weight = id, int(role), 9
+	s.list[id] = m
+	return m
+}
+
+// write writes the configuration with the board at a door.
+func (s *soak) write(door int) {
+	us := func(d time.Duration) int64 { return d.Microseconds() }
+	grade := func(name, effect string, share float64) map[string]any {
+		return map[string]any{
+			"Name": name, "Effect": effect, "DeadlineUs": us(time.Duration(float64(s.plan.deadline) * share)),
+			"TargetUs": us(s.plan.deadline / 3), "Worth": 1.0, "WindowUs": us(s.plan.window), "Group": "all",
+		}
+	}
+	raw, err := json.Marshal(map[string]any{
+		"name": "n0", "listen": s.listen, "seed": "8c1f30d27a5be964", "board": s.doors[door].Addr(), "known": s.board.Known(),
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": soakSockets},
+		"settings": map[string]any{
+			"NInstances": 1, "Zones": []string{"z"}, "Kinds": []string{"small", "parent", "origin"}, "Weights": "nominal",
+			"Bounds": map[string]any{
+				"Cancel": true, "RetryAfter": true, "MaxRetryAfterUs": 500_000, "ConnectTimeoutUs": 400_000, "ConnIdleUs": 4_000_000,
+				"StreamsPerConn": 100, "MostTries": 8, "MostHeld": 512,
+			},
+			"Rules":  map[string]any{"DrainGraceUs": 2_000_000, "ColdFrom": 0.25, "FallMultiple": 3.0, "FallUs": 3_000_000, "WarmWithinUs": 18_000_000},
+			"Grades": []any{grade("asset", "idempotent", 1), grade("report", "deduplicated", 0.9), grade("claim", "at_most_once", 0.8)},
+			"FamilyInfo": map[string]any{
+				"SecondTierKind": 1, "RootKind": 2, "NoteLevel": "all", "PeersFill": "location", "Uncached": []bool{false, true, true},
+				"InParts": []bool{false, false, false}, "PurgeTakesUs": 6_000_000, "NoticeTimeUs": 1_000_000, "FlowKbPerS": 100_000.0,
+				"ParentColdFrom": 0.25, "ParentBreaksAt": 2.0, "ParentWarmsInUs": 18_000_000,
+			},
+		},
+	})
+	require.NoError(s.t, err)
+	part := s.config + ".part"
+	require.NoError(s.t, os.WriteFile(part, raw, 0o600))
+	require.NoError(s.t, os.Rename(part, s.config))
+}
+
+// play runs the process among clients and troubles, ends it as the page says, and judges.
+func (s *soak) play() {
+	go s.measureLateness()
+	require.NoError(s.t, s.cmd.Start())
+	exited := make(chan error, 1)
+	go func() { exited <- s.cmd.Wait() }()
+	s.t.Cleanup(func() { _ = s.cmd.Process.Kill() })
+	require.Eventually(s.t, func() bool { return s.ready() }, 30*time.Second, 10*time.Millisecond, "it takes over 30 s to be ready")
+	var clients sync.WaitGroup
+	for n := range 10 {
+		rng := rand.New(rand.NewPCG(s.rng.Uint64(), uint64(n)))
+		clients.Go(func() { newSoakClient(s, n, rng).run() })
+	}
+	crowded := s.idleClients()
+	defer crowded()
+	end := time.Now().Add(s.plan.runs)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(50+s.rng.IntN(400)) * time.Millisecond)
+		s.trouble()
+	}
+	select {
+	case err := <-exited:
+		s.t.Fatalf("it crashed: %v\n%s", err, s.logs.String())
+	default:
+	}
+	s.terminate(exited)
+	close(s.over)
+	clients.Wait()
+	s.judge()
+}
+
+func (s *soak) now() float64 { return s.clk.Now() }
+
+func (s *soak) ready() bool { there, err := healthy(s.listen); return there && err == nil }
+
+// measureLateness notes by how much a short sleep is late: how far this machine's word on times can be trusted.
+func (s *soak) measureLateness() {
+	const nap = 5 * time.Millisecond
+	for {
+		select {
+		case <-s.over:
+			return
+		default:
+		}
+		began := time.Now()
+		time.Sleep(nap)
+		if late := int64(time.Since(began) - nap); late > s.late.Load() {
+			s.late.Store(late)
+		}
+	}
+}
+
+// terminate sends SIGTERM once or more, with SIGHUPs between, and kills at the page's earliest.
+func (s *soak) terminate(exited chan error) {
+	began := time.Now()
+	s.termAt.Store(began.UnixMicro())
+	kill := began.Add(min(3*time.Second, s.plan.deadline) + 700*time.Millisecond)
+	require.NoError(s.t, s.cmd.Process.Signal(syscall.SIGTERM))
+	for range s.plan.terms - 1 {
+		time.Sleep(time.Duration(s.rng.IntN(150)) * time.Millisecond)
+		if s.rng.IntN(2) == 0 {
+			_ = s.cmd.Process.Signal(syscall.SIGHUP)
+		}
+		_ = s.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	select {
+	case err := <-exited:
+		s.killedAt.Store(time.Now().UnixMicro())
+		if err != nil {
+			s.fail("it ended with %v", err)
+		}
+	case <-time.After(time.Until(kill)):
+		s.killedAt.Store(time.Now().UnixMicro())
+		s.killed.Store(true)
+		_ = s.cmd.Process.Kill()
+		<-exited
+	}
+}
+
+// tell books what the board tells now, as of when it counts as told.
+func (s *soak) tell(t fleet.Told) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.Made = s.now()
+	t.At = max(t.Made, s.stalled)
+	if len(t.Returns) > 0 { // what it may be sent again, it may be sent at once
+		t.At = t.Made
+		for i := range s.told {
+			s.told[i].At = min(s.told[i].At, t.At)
+		}
+	}
+	s.told = append(s.told, t)
+}
+
+// trouble makes something happen: to servers, to the board, or by a signal.
+func (s *soak) trouble() {
+	id := policy.CacheID(1 + s.rng.IntN(soakCaches))
+	server := s.servers.Server(id)
+	switch s.rng.IntN(9) {
+	case 0:
+		server.Set(fleet.Fault{Silent: true})
+	case 1:
+		server.Set(fleet.Fault{Full: true})
+	case 2:
+		server.Set(fleet.Fault{Crashes: true})
+	case 3:
+		for id := range soakCaches {
+			s.servers.Server(policy.CacheID(id + 1)).Set(fleet.Fault{Slow: float64(s.rng.IntN(200))})
+		}
+	case 4: // it is killed and comes back cold, elsewhere
+		server.Kill()
+		m := s.start(id)
+		m.Started = policy.Time(float64(time.Now().UnixMilli()) * 1e6)
+		s.list[id] = m
+		s.tell(fleet.Told{Returns: []policy.CacheID{id}})
+		s.board.Change(m)
+	case 5:
+		m := s.list[id]
+		m.State = policy.Draining
+		s.list[id] = m
+		s.tell(fleet.Told{Drains: []policy.CacheID{id}})
+		s.board.Change(m)
+	case 6:
+		group := s.rng.IntN(fleet.Groups)
+		s.tell(fleet.Told{Purge: true, Group: group})
+		s.board.Purge("", group, s.servers.Purge("", group))
+	case 7: // a stop counts as told 4 s later
+		s.mu.Lock()
+		s.stalled = s.now() + 4000
+		s.mu.Unlock()
+		door := s.doors[s.rng.IntN(len(s.doors))]
+		door.Stall(true)
+		time.AfterFunc(time.Second, func() { door.Stall(false) })
+	case 8:
+		s.write(s.rng.IntN(len(s.doors)))
+		s.mu.Lock()
+		s.stalled = max(s.stalled, s.now()+4000)
+		s.mu.Unlock()
+		require.NoError(s.t, s.cmd.Process.Signal(syscall.SIGHUP))
+	}
+}
+
+func (s *soak) fail(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broken = append(s.broken, fmt.Sprintf(format, args...))
+}
+
+// judge holds what was seen against the pages.
+func (s *soak) judge() {
+	slack := 50 + 2*float64(s.late.Load())/1e6
+	s.judgeAnswers(slack)
+	s.judgeAttempts(slack)
+	s.broken = append(s.broken, s.servers.RanTwice()...)
+	s.broken = append(s.broken, fleet.Rules{Drain: 2000, Purge: 1000, Slack: slack}.Broken(s.servers.Seen(), s.told)...)
+	words := map[string]int{}
+	for _, q := range s.asked {
+		words[q.word]++
+	}
+	s.t.Logf("%+v: %d requests %v, late by %.0f ms", s.plan, len(s.asked), words, float64(s.late.Load())/1e6)
+	if len(s.broken) > 0 {
+		slices.Sort(s.broken)
+		s.t.Errorf("%d breaks, of them:\n%s\n%s", len(s.broken), strings.Join(s.broken[:min(10, len(s.broken))], "\n"), s.logs.String())
+	}
+}
+
+// judgeAnswers: each request has one answer in time, but what crossed the end of its connection, and what came before 0.7 s after
+// SIGTERM and was found by the kill.
+func (s *soak) judgeAnswers(slack float64) {
+	term, kill := float64(s.termAt.Load())/1e3, float64(s.killedAt.Load())/1e3
+	offset := s.clk.Wall() - s.now()
+	for id, q := range s.asked {
+		switch {
+		case q.left > 0:
+		case q.answered > 0 && q.answered > q.sent+q.budget+500+slack:
+			s.fail("%s %s: answered %.0f ms after its time", q.class, id, q.answered-q.sent-q.budget)
+		case q.answered > 0:
+		case q.ended > 0 && q.sent >= q.ended-50-slack && (q.ended+offset < kill-5 || !s.killed.Load()):
+		case q.ended > 0 && q.ended+offset >= kill-5 && q.sent+offset <= term+700+slack:
+		case q.ended+offset >= kill-5 && q.sent+offset >= kill-5: // it was written to a process that was gone
+		default:
+			s.fail("%s %s: lost, sent %.0f ms after SIGTERM, its connection ended %.0f ms after that, the kill was at %.0f", q.class, id, q.sent+offset-term, q.ended-q.sent, kill-term)
+		}
+	}
+}
+
+// judgeAttempts: none begins for a client that has left, none is told more time than there is, none repeats a keyed request
+// after its window, and what was refused as harmless did not run.
+func (s *soak) judgeAttempts(slack float64) {
+	firsts := map[string]float64{} // by key
+	for _, a := range s.servers.Seen() {
+		q := s.asked[a.ID]
+		if a.Probe || q == nil {
+			continue
+		}
+		if q.left > 0 && a.At > q.left+100+slack {
+			s.fail("%s %s: an attempt came %.0f ms after its client had left", q.class, a.ID, a.At-q.left)
+		}
+		if left := q.sent + q.budget - a.At; a.Left > left+150+slack {
+			s.fail("%s %s: told %.0f ms, of which %.0f were left", q.class, a.ID, a.Left, left)
+		}
+		if q.class == "claim" && q.word == "full" && a.Answer == "served" {
+			s.fail("claim %s: refused as harmless, and it ran", a.ID)
+		}
+		if a.Key != "" && a.Answer != "overload" && a.Answer != "not_here" {
+			first, known := firsts[a.ID+a.Key]
+			if !known {
+				firsts[a.ID+a.Key] = a.At
+			} else if a.At > first+clock.Ms(s.plan.window)+slack {
+				s.fail("report %s: repeated %.0f ms after its first attempt", a.ID, a.At-first)
+			}
+		}
+	}
+}
--- a/cmd/ravenwheel/stepped_test.go
+++ b/cmd/ravenwheel/stepped_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -21,47 +19,6 @@
 	"ravenwheel/internal/scenario"
 )
 
-// The environment of a program whose wall clock steps: by so many seconds, so many ms after its start.
-const (
-	steppedBy    = "RAVENWHEEL_TEST_STEP_S"
-	steppedAfter = "RAVENWHEEL_TEST_STEP_AFTER_MS"
-)
-
-// buildStepped builds the program with a wall clock that steps as its environment says, while its monotonic clock runs on:
-// the toolchain's own time.go is overlaid in this build by a copy whose Now does so. Nothing of it is in the product.
-func buildStepped(t *testing.T) string {
-	root, err := exec.Command("go", "env", "GOROOT").Output()
-	require.NoError(t, err)
-	original := filepath.Join(strings.TrimSpace(string(root)), "src", "time", "time.go")
-	text, err := os.ReadFile(original)
-	require.NoError(t, err)
-	const now, imports = "\tsec, nsec, mono := runtimeNow()\n\tif mono == 0 {", "import (\n"
-	stepped := strings.Replace(string(text), now, "\tsec, nsec, mono := runtimeNow()\n\tif mono-startNano >= stepAfter {\n\t\tsec += stepBy\n\t}\n\tif mono == 0 {", 1)
-	require.NotEqual(t, string(text), stepped, "time.Now of this toolchain has another form")
-	stepped = strings.Replace(stepped, imports, imports+"\t\"syscall\"\n", 1)
-	stepped += fmt.Sprintf(`
-var (
-	stepBy    = int64(stepNumber(%q))
-	stepAfter = int64(stepNumber(%q)) * 1_000_000
-)
-
-func stepNumber(name string) int {
-	s, _ := syscall.Getenv(name)
-	n, _ := atoi(s)
-	return n
-}
-`, steppedBy, steppedAfter)
-	dir := t.TempDir()
-	copied, overlay, bin := filepath.Join(dir, "time.go"), filepath.Join(dir, "overlay.json"), filepath.Join(dir, "ravenwheel")
-	require.NoError(t, os.WriteFile(copied, []byte(stepped), 0o600))
-	raw, err := json.Marshal(map[string]any{"Replace": map[string]string{original: copied}})
-	require.NoError(t, err)
-	require.NoError(t, os.WriteFile(overlay, raw, 0o600))
-	out, err := exec.Command("go", "build", "-overlay", overlay, "-o", bin, ".").CombinedOutput()
-	require.NoError(t, err, string(out))
-	return bin
-}
-
 // replies answers for a cache server and keeps what it was asked: everything is turned away while it is full.
 type replies struct {
 	full  atomic.Bool
@@ -103,7 +60,7 @@
 // will do is younger than the purge.
 func TestWallClockStepped(t *testing.T) {
 	const after = 1500 * time.Millisecond
-	bin := buildStepped(t)
+	bin := buildOverlaid(t)
 	newer := regexp.MustCompile(`,newer=(\d+)`)
 	for _, by := range []int{-3600, 3600, -7, 7} {
 		t.Run(fmt.Sprintf("%d s", by), func(t *testing.T) {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -61,6 +61,7 @@
 	Part    int
 	Source  policy.CacheID // where a miss was to be filled from; the server itself: nowhere
 	Newest  float64        // the oldest copy that would do was made then; 0: any
+	Left    float64        // ms that were told to be left for it
 	Probe   bool
 	Write   bool
 	Key     string // the idempotency key that came with it
--- a/internal/lab/fleet/server.go
+++ b/internal/lab/fleet/server.go
@@ -189,6 +189,7 @@
 		n, _ := strconv.ParseUint(strings.TrimPrefix(src, "s-"), 16, 32)
 		seen.Source = policy.CacheID(n)
 	}
+	seen.Left, _ = strconv.ParseFloat(fields["ttl"], 64)
 	if age, err := strconv.ParseFloat(fields["newer"], 64); err == nil && age > 0 {
 		seen.Newest = now - age
 	}
