Halves of a request apart, a crowded board, connections to many servers: failing tests

TestHalvesApart: a request written in two halves 2 s apart has its connection ended at 1.5 s. TestCrowdedBoard: a board whose first word takes 1.5 times the silence is never heard. TestConnectionsOfAllServers: 30 servers, 30 connections, no bound over all (the field Total is there and heeded by nobody yet).

--- a/internal/front/resp/unread_test.go
+++ b/internal/front/resp/unread_test.go
@@ -64,6 +64,39 @@
 	require.ErrorIs(t, err, io.EOF, "half a frame of which no more comes ends its connection")
 }
 
+// A request comes in two halves, two seconds apart, on a new connection: it is served. Half a frame and no more is closed within
+// three seconds of connecting.
+func TestHalvesApart(t *testing.T) {
+	p := scenario.NewProxy(t)
+	f, gate := gatedFront(t, p, 10)
+	call := frames.Append(nil, strings.Fields(asset)...)
+	half := func() net.Conn {
+		nc, err := net.Dial("tcp", f.Addr())
+		require.NoError(t, err)
+		t.Cleanup(func() { nc.Close() })
+		before := gate.taken.Load()
+		_, err = nc.Write(call[:40])
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return gate.wanted.Load() == before+40 }, 10*time.Second, time.Millisecond)
+		return nc
+	}
+	nc := half()
+	p.Clock.Advance(2000)
+	_, err := nc.Write(call[40:])
+	require.NoError(t, err)
+	scenario.Run(t, p.Clock, map[string]scenario.Actor{"s": p.Cache}, `
+		s expect fetch 00000000000000a1 * -
+		s send $id served why=local,version=v1 BYTES`)
+	read := make([]byte, 64)
+	n, err := nc.Read(read)
+	require.NoError(t, err)
+	require.Contains(t, string(read[:n]), "BYTES")
+	rest := half()
+	p.Clock.Advance(2990)
+	_, err = rest.Read(read)
+	require.ErrorIs(t, err, io.EOF)
+}
+
 // A request has reached a connection and nobody has read it yet, as the reader is held up. The connection is not at rest: it
 // is not ended for one that comes, nor as one on which half a frame came and no more; the request is served, and so is the one
 // that came for a place.
--- a/internal/source/board/slow_test.go
+++ b/internal/source/board/slow_test.go
@@ -42,3 +42,24 @@
 	trickle(t, nc, frame(6, kindGroup, group(17, 1000)...), 1, 0) // still the same connection
 	require.EqualValues(t, 6, (<-got).Rev)
 }
+
+// A board is crowded: it tells nothing on a new connection until longer than silence may last. It is waited for longer once a
+// connection has told nothing, and heard.
+func TestCrowdedBoard(t *testing.T) {
+	const silence = 200 * time.Millisecond
+	accept, got := follow(t, silence)
+	for range 10 {
+		nc := accept(4)
+		time.Sleep(silence * 3 / 2)
+		if _, err := nc.Write(frame(5, kindGroup, group(17, 1000)...)); err != nil {
+			continue
+		}
+		select {
+		case n := <-got:
+			require.EqualValues(t, 5, n.Rev)
+			return
+		case <-time.After(silence):
+		}
+	}
+	require.Fail(t, "never heard, in ten calls")
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -23,6 +23,7 @@
 type Limits struct {
 	PerConn int                                                              // attempts out on one connection
 	Conns   int                                                              // connections to one cache server
+	Total   int                                                              // and to all together; 0: no bound
 	Connect float64                                                          // ms until a connection must be up
 	Idle    float64                                                          // ms after which the other side closes an idle connection
 	Life    float64                                                          // ms for which a request's id may come again; 0: usualLife
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -353,3 +353,37 @@
 	}
 	require.LessOrEqual(t, pools.Conns(), 6, "two more are for what may not be repeated")
 }
+
+// Many servers, each with connections of its own: all together they stay within a bound. Those at rest for longest make room for
+// the next server; while none is at rest, an attempt that finds no room is told so, and blames nobody.
+func TestConnectionsOfAllServers(t *testing.T) {
+	const servers, most = 30, 8
+	clk := clock.Manual(0)
+	pools := upstream.New(clk, upstream.Limits{PerConn: 100, Conns: 4, Connect: 5000, Total: most})
+	list, answers := make([]core.Member, servers), make([]*scenario.Server, servers)
+	for i := range servers {
+		answers[i] = scenario.Listen(t)
+		list[i].Addr, list[i].ID = answers[i].Addr(), policy.CacheID(i+1)
+	}
+	pools.Members(list, true)
+	ends := make(chan core.End, servers)
+	send := func(i int) {
+		pools.Send(core.Attempt{ID: fmt.Sprint("r", i, "-", clk.Now()), To: policy.CacheID(i + 1), Until: clk.Now() + 60_000}, func(e core.End) { ends <- e })
+	}
+	for i := range servers {
+		send(i)
+		scenario.Run(t, clk, map[string]scenario.Actor{"s": answers[i]}, `
+			s expect fetch * * -
+			s send $id served -
+			wait 1`)
+		require.Equal(t, policy.OK, (<-ends).Result, i)
+		require.Eventually(t, func() bool { return pools.Conns() <= most }, time.Minute, time.Millisecond)
+	}
+	for i := range servers { // nobody answers
+		send(i)
+	}
+	for range servers - most {
+		require.Equal(t, policy.Moot, (<-ends).Result)
+	}
+	require.Equal(t, most, pools.Conns())
+}
