--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -18,6 +18,7 @@
 	"ravenwheel/internal/invariant"
 	"ravenwheel/internal/scenario"
 	"ravenwheel/internal/upstream"
+	"ravenwheel/policy"
 )
 
 // four reads on one connection, a fifth on another.
