Half a frame has 2.4 s, a crowded board is waited for, connections to servers have one bound

Half a frame was closed 1.5 s after its bytes, though requests are written over 2 s; it has 2.4 s, within the 3 s that a bad client is owed. A board that told nothing over one connection has twice the silence for its first word over the next. Connections to all servers together are bounded by what clients leave of the descriptors; the one at rest for longest makes room, and where none is, the attempt chooses anew.

--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -30,10 +30,18 @@
 	answerMargin = 150
 	// leastConns, mostConns: connections to one cache server, one in connShare of the descriptors.
 	leastConns, mostConns, connShare = 4, 8, 32
+	// ownSockets: listeners, the board, the console's calls and the runtime's own. leastForServers serves with the fewest descriptors.
+	ownSockets, leastForServers = 32, 8
 	// profileFor: a profile covers the start and some traffic, and is whole though SIGKILL follows.
 	profileFor = 20 * time.Second
 )
 
+// forServers is how many connections there may be to all servers together: what descriptors clients leave, with those of them that
+// are told to end, and what the program and its runtime hold themselves.
+func forServers(sockets int) int {
+	return max(leastForServers, sockets-sockets/2-sockets/16-ownSockets)
+}
+
 // profile names the file that a CPU profile of the run is written to; empty: none.
 var profile string
 
@@ -90,7 +98,7 @@
 		})
 	}
 	up := upstream.New(clk, upstream.Limits{
-		PerConn: conf.StreamsPerConn, Conns: min(mostConns, max(leastConns, conf.Sockets/connShare)), Connect: conf.Connect, Idle: conf.ConnIdle,
+		PerConn: conf.StreamsPerConn, Conns: min(mostConns, max(leastConns, conf.Sockets/connShare)), Connect: conf.Connect, Idle: conf.ConnIdle, Total: forServers(conf.Sockets),
 		Life: clock.Ms(longest(conf)),
 	})
 	c, err := core.New(conf.Settings, conf.Classes, conf.MostHeld, conf.Seed, clk, up)
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -34,8 +34,9 @@
 	keepOut = 256 << 10
 	// keepIn: a read buffer that has grown beyond this is given back once it is empty.
 	keepIn = 8 << 10
-	// silentFor: a connection that has sent nothing, or no more than half a frame, for so many ms is closed.
-	silentFor, sweepEvery = 1500, 250
+	// silentFor: a connection that has sent nothing for so many ms is closed; halfFor: one of which half a frame has come, and
+	// no more since. Some clients write a request over 2 s, and who sends half a one and no more is owed a close within 3 s.
+	silentFor, halfFor, sweepEvery = 1500, 2400, 250
 	// emptyEvery: so often it is looked, while the proxy is emptied, which connections are at rest, in ms. lingerFor: a
 	// client that was told that its connection ends, and does not end it, has that long. leavingShare: one in so many
 	// places may be held by such beyond those that are served.
--- a/internal/front/resp/front_test.go
+++ b/internal/front/resp/front_test.go
@@ -97,9 +97,10 @@
 		s expect fetch * * -
 		wait 1000
 		c expect closed
-		d expect closed
 		s send $id served why=local,version=v1 BYTES
 		f expect 1 ok - BYTES
+		wait 700
+		d expect closed
 		e send RPC.HEALTH 9
 		e expect 9 yes
 		f await closed
--- a/internal/front/resp/guard.go
+++ b/internal/front/resp/guard.go
@@ -188,6 +188,14 @@
 	return true
 }
 
+// silent tells whether its client has said nothing for too long, where it has to: at first, and in the middle of a frame.
+func (g *guard) silent(now float64) bool {
+	if g.half {
+		return now-g.since >= halfFor
+	}
+	return !g.asked && now-g.since >= silentFor
+}
+
 // leave decides that a connection ends, unless its client is owed an answer. Guards against a request that
 // comes between the decision and the close: an attempt would be sent for it, and its answer lost.
 func (g *guard) leave() bool {
--- a/internal/front/resp/places.go
+++ b/internal/front/resp/places.go
@@ -58,7 +58,7 @@
 		switch {
 		case g.client != nil && g.client.blocked(now):
 			go g.shut()
-		case (!g.asked || g.half) && now-g.since >= silentFor && !g.unread() && g.leave():
+		case g.silent(now) && !g.unread() && g.leave():
 			f.dismiss(g)
 		}
 	}
--- a/internal/source/board/board.go
+++ b/internal/source/board/board.go
@@ -228,14 +228,15 @@
 
 // Run follows the board until ctx ends. Whatever breaks, it dials again with the last number it has.
 func (c *Client) Run(ctx context.Context) {
-	again := c.redials()
+	again, heard := c.redials(), true
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		at, leave := context.WithCancel(ctx)
 		addr := c.Addr
 		c.leave = leave
 		c.mu.Unlock()
-		pause := again(c.follow(at, addr))
+		heard = c.follow(at, addr, heard)
+		pause := again(heard)
 		select {
 		case <-at.Done(): // ended, or moved
 		case <-time.After(pause):
@@ -281,13 +282,18 @@
 }
 
 // Read implements io.Reader.
-func (p patient) Read(b []byte) (int, error) {
+func (p *patient) Read(b []byte) (int, error) {
 	_ = p.SetReadDeadline(time.Now().Add(p.silence))
 	return p.Conn.Read(b)
 }
 
-// follow reads one connection to its end, and tells whether a frame came over it.
-func (c *Client) follow(ctx context.Context, addr string) (heard bool) {
+// crowded: the first word of a board that told nothing over the connection before is waited for so many times as long. Guards
+// against one that is crowded and takes that long for each who asks: none of them would ever be told. Longer finds one later
+// that hangs.
+const crowded = 2
+
+// follow reads one connection to its end, and tells whether a frame came over it. before is the same of the one before.
+func (c *Client) follow(ctx context.Context, addr string, before bool) (heard bool) {
 	silence := c.patience()
 	dial := c.Dial
 	if dial == nil {
@@ -304,13 +310,16 @@
 	if _, err := nc.Write(last[:]); err != nil {
 		return false
 	}
-	in := patient{nc, silence}
+	in := &patient{nc, silence}
+	if !before {
+		in.silence *= crowded
+	}
 	for {
 		n, kind, err := readFrame(in)
 		if err != nil {
 			return heard
 		}
-		heard = true
+		heard, in.silence = true, silence
 		if kind == kindNothing && c.Heard != nil {
 			c.Heard()
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -60,6 +60,7 @@
 	began   float64 // when the first of them came
 	watched bool    // a timer looks at half
 	used    float64 // when the connection last had a call
+	yielded bool    // its place among all connections is another's
 	closed  bool    // takes nothing more
 	broken  bool    // nothing more can be read
 	wake    chan struct{}
@@ -162,6 +163,37 @@
 	k.signal()
 }
 
+// rests tells since when a connection has had nothing open; ok is false if it has, or takes nothing more.
+func (k *conn) rests() (since float64, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.used, k.nc != nil && !k.closed && len(k.open) == 0
+}
+
+// yield ends a connection that rests, and gives its place to another one at once.
+func (k *conn) yield() {
+	k.mu.Lock()
+	rests := !k.closed && len(k.open) == 0
+	if rests {
+		k.closed = true
+		k.signal()
+	}
+	k.mu.Unlock()
+	if rests {
+		k.release()
+	}
+}
+
+// release gives the connection's place among all of them back, once.
+func (k *conn) release() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.yielded {
+		k.yielded = true
+		k.pool.all.total.Add(-1)
+	}
+}
+
 // redials: how often a connection is tried again that was reset as it came up.
 const redials = 2
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -39,7 +40,8 @@
 
 	// pools are found without a lock, by attempts that come by the thousand; a list is put in place whole.
 	pools atomic.Pointer[iradix.Tree[*pool]]
-	mu    sync.Mutex // of Members
+	mu    sync.Mutex   // of Members
+	total atomic.Int64 // connections, but for those that make room for others
 }
 
 // pool is the connections to one cache server at one address.
@@ -148,6 +150,7 @@
 func (p *Pools) start(c *call) (abort func() bool) {
 	var conn *conn
 	if pl := p.pool(c.attempt.To); pl != nil {
+		p.makeRoom()
 		conn = pl.place(c)
 	}
 	if conn == nil { // it has left the list since, or all connections are taken: the module chooses anew
@@ -186,17 +189,22 @@
 		}
 	}
 	slices.SortStableFunc(own, func(a, b *conn) int { return loads[a] - loads[b] })
-	room := len(own) < most && len(pl.conns) < 2*pl.all.limits.Load().Conns
-	for _, k := range own {
-		if room && loads[k] >= part {
-			break
+	find := func(below int) *conn {
+		for _, k := range own {
+			if loads[k] < below && k.take(c) {
+				return k
+			}
 		}
-		if k.take(c) {
+		return nil
+	}
+	room := len(own) < most && len(pl.conns) < 2*pl.all.limits.Load().Conns
+	if room {
+		if k := find(part); k != nil {
 			return k
 		}
 	}
-	if !room {
-		return nil
+	if !room || !pl.all.reserve() {
+		return find(math.MaxInt)
 	}
 	k := newConn(pl, alone)
 	k.take(c)
@@ -205,7 +213,40 @@
 	return k
 }
 
+// reserve books one more connection, if there may be one.
+func (p *Pools) reserve() bool {
+	most := int64(p.limits.Load().Total)
+	if n := p.total.Add(1); most > 0 && n > most {
+		p.total.Add(-1)
+		return false
+	}
+	return true
+}
+
+// makeRoom ends the connection that has been at rest for longest, where there may be no more of them.
+func (p *Pools) makeRoom() {
+	if most := int64(p.limits.Load().Total); most <= 0 || p.total.Load() < most {
+		return
+	}
+	var idlest *conn
+	since := math.Inf(1)
+	p.pools.Load().Root().Walk(func(_ []byte, pl *pool) bool {
+		pl.mu.Lock()
+		defer pl.mu.Unlock()
+		for _, k := range pl.conns {
+			if used, rests := k.rests(); rests && used < since {
+				idlest, since = k, used
+			}
+		}
+		return false
+	})
+	if idlest != nil {
+		idlest.yield()
+	}
+}
+
 func (pl *pool) remove(k *conn) {
+	k.release()
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	for i, o := range pl.conns {
