A successor that is told to end while it waits: failing test

TestTerminatedWhileItWaits: the owner is stopped, a successor waits and gets SIGTERM; it takes the address over all the same, ends, and the owner steps back as it is woken: nobody serves.

--- a/cmd/ravenwheel/signal_test.go
+++ b/cmd/ravenwheel/signal_test.go
@@ -58,3 +58,23 @@
 	require.NoError(t, next.cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, next.cmd.Wait(), "%s", next.logs)
 }
+
+// A process that is about to follow is told to end before it owns the address. It ends, and leaves the owner what it owns.
+func TestTerminatedWhileItWaits(t *testing.T) {
+	bin, listen, dir, cache, board := build(t), freeAddr(t), t.TempDir(), scenario.Listen(t), listenBoard(t)
+	config := configFile(t, listen, board.Addr().String(), cache.Addr())
+	owner := startBeside(t, bin, config, dir)
+	owner.ready(t)
+	require.NoError(t, owner.cmd.Process.Signal(syscall.SIGSTOP))
+	next := startBeside(t, bin, config, dir)
+	require.Eventually(t, func() bool { return next.call("STATUS") == "FAILURE starting" }, time.Minute, time.Millisecond)
+	time.Sleep(100 * time.Millisecond) // it has asked the owner by now, which says nothing
+	require.NoError(t, next.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, next.cmd.Wait(), "%s", next.logs)
+	require.NotContains(t, next.logs.String(), "owns the address")
+	require.NoError(t, owner.cmd.Process.Signal(syscall.SIGCONT))
+	time.Sleep(600 * time.Millisecond) // it looks twice whether another one owns
+	require.Equal(t, "SUCCESS serving", owner.call("STATUS"), "%s", owner.logs)
+	require.NoError(t, owner.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, owner.cmd.Wait(), "%s", owner.logs)
+}
