A process that is told to end while it waits for its address ends, and owns nothing

handover.Start and Ready look at the signal: a successor that was told to end waited on, took the address from an owner that was stopped, and ended; the owner stepped back. A reload whose file can't be opened for the moment is tried again for 1 s.

--- a/cmd/ravenwheel/place.go
+++ b/cmd/ravenwheel/place.go
@@ -22,8 +22,9 @@
 	console *console.Console // nil: none is named
 }
 
-// takePlace opens the console and finds the process that owns the address, if there is one. stop ends the program.
-func takePlace(conf *config.Config, clk *clock.Clock, log *logs.Log, stop context.CancelFunc) (p *place, err error) {
+// takePlace opens the console and finds the process that owns the address, if there is one. stop ends the program; ended is closed
+// once it is told to end.
+func takePlace(ended <-chan struct{}, conf *config.Config, clk *clock.Clock, log *logs.Log, stop context.CancelFunc) (p *place, err error) {
 	d := desk.New(desk.Options{Clock: clk, MemoryMB: conf.MemoryMB, Conns: conf.Sockets / 2, AnswerWithin: killed(conf), Stop: stop})
 	p = &place{desk: d}
 	if conf.Console == "" {
@@ -36,6 +37,7 @@
 	if conf.Shared != "" {
 		p.hand, err = handover.Start(handover.Options{
 			Dir: conf.Shared, Listen: conf.Listen, Clock: clk, Log: log, Accept: d.Accept, Owns: d.Owns, Shares: d.Shares, Stop: d.Step,
+			Ended: ended,
 		})
 	}
 	if err != nil {
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -17,6 +18,7 @@
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/desk"
 	"ravenwheel/internal/front/resp"
+	"ravenwheel/internal/handover"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/upstream"
 )
@@ -123,7 +125,10 @@
 	signalled, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	ctx, stop := context.WithCancel(signalled)
 	defer stop()
-	place, err := takePlace(conf, clk, log, stop)
+	place, err := takePlace(ctx.Done(), conf, clk, log, stop)
+	if errors.Is(err, handover.ErrEnded) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -134,6 +139,9 @@
 	}
 	defer src.close()
 	ln, err := place.listen(conf, c)
+	if errors.Is(err, handover.ErrEnded) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -24,6 +24,7 @@
 	"ravenwheel/internal/source/watch"
 	"ravenwheel/internal/state"
 	"ravenwheel/internal/store"
+	"ravenwheel/internal/transient"
 	"ravenwheel/policy"
 )
 
@@ -32,6 +33,8 @@
 	boardSilence, boardRedial = 2500 * time.Millisecond, 100 * time.Millisecond
 	// storeDrain: ms for which a server drains that the store's list drops, where no watched list says otherwise.
 	storeDrain = 10_000
+	// reloadTries, reloadPause: a configuration that can't be read for the moment, out of descriptors say, is read again.
+	reloadTries, reloadPause = 20, 50 * time.Millisecond
 	// silentAfter: ms without a frame after which an operator is told that the board is silent.
 	silentAfter = 10_000
 )
@@ -239,6 +242,10 @@
 		return
 	}
 	conf, err := config.Load(os.Getenv)
+	for tries := 1; transient.Is(err) && tries < reloadTries; tries++ { // it would be followed at the old address for good
+		time.Sleep(reloadPause)
+		conf, err = config.Load(os.Getenv)
+	}
 	if err != nil {
 		log.Error("reload").Err(err).Msg("reload: the old configuration stays")
 		return
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -44,8 +44,13 @@
 	Owns   func(on bool)    // this process owns the address from now on, or another one does
 	Shares func(on bool)    // it shares the limits with another process, or no longer
 	Stop   func(why string) // answer what is open, and end
+	// Ended is closed once the process was told to end: it owns nothing that it does not own by then. nil: never.
+	Ended <-chan struct{}
 }
 
+// ErrEnded says that a process was told to end before it owned its address.
+var ErrEnded = errors.New("handover: told to end")
+
 // Knowledge is what a process has learned and the next one may start from.
 type Knowledge interface {
 	Learned() ([]byte, error)
@@ -95,7 +100,22 @@
 		return h, nil
 	case err := <-h.failed:
 		return nil, err
+	case <-o.Ended:
+		_ = h.leave() // it is not ready to own
+		return nil, ErrEnded
+	}
+}
+
+// leave ends this process's part before it owns, unless it does by now.
+func (h *Hand) leave() error {
+	h.mu.Lock()
+	owns := h.machine.Phase() >= decide.Owning
+	h.closed = h.closed || !owns
+	h.mu.Unlock()
+	if owns {
+		return nil
 	}
+	return ErrEnded
 }
 
 // Follow hands on which servers are out by hand and which were given back lately, and when; from then on what operators
@@ -121,11 +141,16 @@
 	h.tell(decide.Ready{})
 	select {
 	case <-h.owns:
-		h.watch()
-		return h.ln, nil
 	case err := <-h.failed:
 		return nil, err
+	case <-h.opt.Ended:
+		if err := h.leave(); err != nil {
+			return nil, err
+		}
+		<-h.owns
 	}
+	h.watch()
+	return h.ln, nil
 }
 
 // Take keeps that a server is out by hand, or no longer, and tells the other process. It is kept when Take returns.
