--- a/internal/state/keeper_test.go
+++ b/internal/state/keeper_test.go
@@ -83,3 +83,32 @@
 		require.Len(t, plan.Purges, 2, fault)
 	}
 }
+
+// The wall clock is stepped by an hour while the proxy is down for a moment, forward or back. A purge that was told right before
+// binds as long as it would have, and a drain counts from when it began; also after one restart more, and out of a snapshot.
+func TestStepOverARestart(t *testing.T) {
+	const hour = 3_600_000
+	for _, step := range []float64{hour, -hour} {
+		fs := vfs.NewSim(-1)
+		began := time.Now()
+		k, _, err := state.Open(options(fs, clock.System()))
+		require.NoError(t, err)
+		before := clock.System()
+		k.Published(published(1, policy.Draining))
+		require.NoError(t, k.Purged(recovery.Purge{Object: "o", Made: before.Now(), Told: before.Now()}))
+		require.NoError(t, k.Close())
+		for range 3 {
+			after := clock.Shifted(step)
+			k, plan, err := state.Open(options(fs, after))
+			require.NoError(t, err)
+			require.Len(t, plan.Purges, 1)
+			require.Len(t, plan.Remembered, 1)
+			for _, at := range []float64{plan.Purges[0].Made, plan.Remembered[0].Since} {
+				ago := after.Now() - at
+				require.GreaterOrEqual(t, ago, 0.0)
+				require.LessOrEqual(t, ago, clock.Ms(time.Since(began))+500)
+			}
+			require.NoError(t, k.Close())
+		}
+	}
+}
