--- a/internal/decide/recovery/state.go
+++ b/internal/decide/recovery/state.go
@@ -80,6 +80,10 @@
 	Revision uint64  `cbor:"5,keyasint,omitempty"` // of the configuration in use
 	Boot     bool    `cbor:"6,keyasint,omitempty"`
 	Hand     *Hand   `cbor:"7,keyasint,omitempty"`
+	// Of a boot: the epoch of the clock that all later times are on, and what all earlier ones are moved by. They differ where the
+	// wall clock was stepped while the proxy was down.
+	Epoch float64 `cbor:"8,keyasint,omitempty"`
+	Shift float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Hand is a drain by hand, or its end.
@@ -95,6 +99,7 @@
 type State struct {
 	High     float64 // the latest time seen
 	Boots    int
+	Epoch    float64 // of the clock that the times are on; 0: not told
 	Revision uint64
 	purges   map[purgeKey]Purge
 	members  map[uint64]Member
@@ -127,6 +132,10 @@
 
 // Apply takes an event in.
 func (s *State) Apply(e Event) {
+	if e.Boot {
+		s.move(e.Shift)
+		s.Epoch = e.Epoch
+	}
 	s.High = max(s.High, e.At)
 	switch {
 	case e.Purge != nil:
@@ -157,6 +166,42 @@
 	}
 }
 
+// move moves all times, as onto another clock.
+func (s *State) move(by float64) {
+	if by == 0 {
+		return
+	}
+	s.High += by
+	for k, p := range s.purges {
+		p.Made, p.Told = p.Made+by, p.Told+by
+		s.purges[k] = p
+	}
+	for id, m := range s.members {
+		m.Since += by
+		if m.Started > 0 {
+			m.Started += by
+		}
+		s.members[id] = m
+	}
+	s.told.Reset(func(yield func(purgeKey, float64) bool) {
+		for k, p := range s.purges {
+			if !yield(k, p.last()) {
+				return
+			}
+		}
+	})
+	s.gone.Reset(s.goneSince)
+}
+
+// goneSince are the servers that are gone, and since when.
+func (s *State) goneSince(yield func(uint64, float64) bool) {
+	for id, m := range s.members {
+		if m.Phase == membership.Gone && !yield(id, m.Since) {
+			return
+		}
+	}
+}
+
 func (s *State) member(m Member) {
 	old, known := s.members[m.ID]
 	// A drain counts from when it began, whatever else of the server changes meanwhile.
@@ -169,13 +214,7 @@
 	}
 	s.gone.Set(m.ID, m.Since, old.Since, known && old.Phase == membership.Gone)
 	if s.gone.Spare(len(s.members)) {
-		s.gone.Reset(func(yield func(uint64, float64) bool) {
-			for id, m := range s.members {
-				if m.Phase == membership.Gone && !yield(id, m.Since) {
-					return
-				}
-			}
-		})
+		s.gone.Reset(s.goneSince)
 	}
 }
 
@@ -229,6 +268,26 @@
 	Hand        []uint64 // drained by hand
 }
 
+// Moved is the plan with its times moved, as onto another clock.
+func (p Plan) Moved(by float64) Plan {
+	if by == 0 {
+		return p
+	}
+	p.Purges, p.Remembered = slices.Clone(p.Purges), slices.Clone(p.Remembered)
+	for i := range p.Purges {
+		p.Purges[i].Made += by
+		p.Purges[i].Told += by
+	}
+	for i := range p.Remembered {
+		r := &p.Remembered[i]
+		r.Since += by
+		if r.Member.Started > 0 {
+			r.Member.Started += policy.Time(by * 1e6)
+		}
+	}
+	return p
+}
+
 // List finds the list of a source.
 func (p Plan) List(source string) (List, bool) {
 	for _, l := range p.Lists {
@@ -352,7 +411,7 @@
 
 // check refuses what no proxy writes, and would spoil what is decided from it.
 func (e Event) check() error {
-	times := []float64{e.At}
+	times := []float64{e.At, e.Epoch, e.Shift}
 	if e.Purge != nil {
 		times = append(times, e.Purge.Made, e.Purge.Told)
 	}
@@ -379,11 +438,12 @@
 	Members  []Member `cbor:"5,keyasint"`
 	Lists    []List   `cbor:"6,keyasint"`
 	Hand     []uint64 `cbor:"7,keyasint,omitempty"`
+	Epoch    float64  `cbor:"8,keyasint,omitempty"`
 }
 
 // Encode writes all of it.
 func (s *State) Encode() ([]byte, error) {
-	return encode(kept{s.High, s.Boots, s.Revision, s.Purges(), s.Members(), s.Lists(), slices.Sorted(maps.Keys(s.hand))})
+	return encode(kept{s.High, s.Boots, s.Revision, s.Purges(), s.Members(), s.Lists(), slices.Sorted(maps.Keys(s.hand)), s.Epoch})
 }
 
 // DecodeState reads what Encode wrote.
@@ -408,6 +468,6 @@
 	for _, id := range k.Hand {
 		s.hand[id] = true
 	}
-	s.High, s.Boots, s.Revision = k.High, k.Boots, k.Revision
+	s.High, s.Boots, s.Revision, s.Epoch = k.High, k.Boots, k.Revision, k.Epoch
 	return s, nil
 }
--- a/internal/state/keeper.go
+++ b/internal/state/keeper.go
@@ -102,9 +102,11 @@
 	}
 	k.j, k.state, k.since = j, t.state, t.count
 	k.number = j.Stats().Next - 1
-	now := o.Clock.Now()
-	plan := k.state.Plan(now, o.Settings)
-	k.keep(recovery.Event{At: now, Boot: true})
+	now, shift := o.Clock.Now(), o.Clock.Shift(k.state.Epoch)
+	plan := k.state.Plan(now-shift, o.Settings).Moved(shift)
+	boot := recovery.Event{At: now, Boot: true, Shift: shift}
+	boot.Epoch, _ = o.Clock.Epoch()
+	k.keep(boot)
 	// The boot event's end may begin one in this very moment: without the lock two would have run.
 	k.mu.Lock()
 	defer k.mu.Unlock()
