Requests that wait in a listener's queue as it ends: failing tests

TestQueueOfAStoppedOwner: an owner is stopped and replaced; what clients had sent into its queue is reset once it is woken. TestStopOverAQueue: accepting is held up at SIGTERM, and the listener is closed over a connection with a request.

--- a/cmd/ravenwheel/signal_test.go
+++ b/cmd/ravenwheel/signal_test.go
@@ -78,3 +78,28 @@
 	require.NoError(t, owner.cmd.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, owner.cmd.Wait(), "%s", owner.logs)
 }
+
+// An owner is stopped, a client's connection waits in its queue with a request, and another process takes the address with a
+// queue of its own. Once the owner is woken it steps back: what waits in its queue is answered first.
+func TestQueueOfAStoppedOwner(t *testing.T) {
+	bin, listen, dir, cache := build(t), freeAddr(t), t.TempDir(), scenario.Listen(t)
+	answers := &replies{}
+	go answers.serve(t, cache)
+	config := configFile(t, listen, listenBoard(t).Addr().String(), cache.Addr())
+	owner := startBeside(t, bin, config, dir)
+	owner.ready(t)
+	require.NoError(t, owner.cmd.Process.Signal(syscall.SIGSTOP))
+	waits := scenario.Dial(t, listen)
+	require.NoError(t, waits.Send([]string{"RPC.CALL", "1", "asset", "rid=00000000000000a1,budget=60000,obj=7f3a9c21e0b4d655,nth=0,batch=17"}))
+	next := startBeside(t, bin, config, dir)
+	next.ready(t)
+	require.NoError(t, owner.cmd.Process.Signal(syscall.SIGCONT))
+	scenario.Run(t, clock.System(), map[string]scenario.Actor{"waits": waits}, `
+		waits expect 1 ok - BYTES`)
+	require.NoError(t, owner.cmd.Wait(), "%s", owner.logs)
+	for n := range 20 { // all new ones reach the other process
+		require.Equal(t, "ok", ask(t, scenario.Dial(t, listen), n+1))
+	}
+	require.NoError(t, next.cmd.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, next.cmd.Wait(), "%s", next.logs)
+}
--- a/cmd/ravenwheel/stop_test.go
+++ b/cmd/ravenwheel/stop_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -93,3 +95,58 @@
 	require.Zero(t, n.Unsent.Load()+n.Unanswered.Load())
 	require.Zero(t, invariant.Broken())
 }
+
+// heldUp is a listener whose accepts are held up while it is shut, as out of descriptors.
+type heldUp struct {
+	*net.TCPListener
+	shut atomic.Bool
+}
+
+func (h *heldUp) Accept() (net.Conn, error) {
+	if h.shut.Load() {
+		return nil, &net.OpError{Op: "accept", Err: syscall.ENFILE}
+	}
+	return h.TCPListener.Accept()
+}
+
+// Accepting is held up as the program is told to end. Connections wait in the listener's queue, with requests: they have been
+// taken, and each gets its answer before the listener is closed.
+func TestStopOverAQueue(t *testing.T) {
+	p := scenario.NewProxy(t)
+	tcp, err := net.Listen("tcp", scenario.Loopback())
+	require.NoError(t, err)
+	ln := &heldUp{TCPListener: tcp.(*net.TCPListener)}
+	ln.shut.Store(true)
+	front := resp.New(ln, 100, p.Clock, p.Core)
+	go func() { _ = front.Serve() }()
+	conf := &config.Config{Settings: scenario.Settings()}
+	d := desk.New(desk.Options{Clock: p.Clock, Conns: 100, AnswerWithin: killed(conf), Stop: func() {}})
+	d.Serve(front, nil, nil)
+	d.Owns(true)
+	d.Accept(true)
+	c := scenario.Dial(t, front.Addr())
+	require.NoError(t, c.Send([]string{"RPC.CALL", "1", "asset", "rid=00000000000000a1,budget=2500,obj=7f3a9c21e0b4d655,nth=0,batch=17"}))
+	ended := make(chan struct{})
+	go func() {
+		drain(p.Clock, front, conf, func(context.Context) {}, d.Stop)
+		close(ended)
+	}()
+	for range 110 { // past the moment at which the listener is closed
+		p.Clock.Advance(10)
+		time.Sleep(200 * time.Microsecond)
+	}
+	ln.shut.Store(false)
+	scenario.Run(t, p.Clock, map[string]scenario.Actor{"c": c, "s": p.Cache}, `
+		s await fetch 00000000000000a1 * -
+		s send $id served why=local,version=v1 BYTES
+		c expect 1 ok - BYTES`)
+	require.Eventually(t, func() bool {
+		select {
+		case <-ended:
+			return true
+		default:
+			p.Clock.Advance(10)
+			return false
+		}
+	}, time.Minute, time.Millisecond)
+}
