A listener is closed once its queue is empty, also by an owner that was replaced while stopped

drain looks at the listener's queue before it closes it; an owner that finds itself superseded keeps accepting from its own queue until that is empty, and then closes; guard.Close leaves a connection that was accepted a moment ago or has unread bytes to the plan.

--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -170,11 +170,18 @@
 // drain lets what is still on its way in come, then answers what is open and ends the connections. told has the front do so;
 // where another process has the clients by then, nothing is on its way here but what clients ask on connections that they
 // hold. It waits for connections, and not for answers alone: a request that came between the last answer and the exit of the
-// process was reset, unread.
+// process was reset, unread. Nor is the listener closed over connections that wait in its queue.
 func drain(clk *clock.Clock, front *resp.Front, conf *config.Config, stopOperator func(context.Context), told func() (passed bool)) {
 	end := clk.Now() + clock.Ms(longest(conf)) + killAfter - stopMargin
-	if !told() {
+	passed := told()
+	if !passed {
 		pause(clk, desk.StopAfter)
+	}
+	// Another process that passed over this one has a queue of its own, and this one's is still its own to empty.
+	if !passed || front.Accepts() {
+		for front.Queued() && clk.Now() < end {
+			pause(clk, idleEvery)
+		}
 		_ = front.Close()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/decide/handover/handover.go
+++ b/internal/decide/handover/handover.go
@@ -256,7 +256,8 @@
 		m.left(e.From)
 	case Superseded:
 		if m.phase >= Owning && m.phase != Over && e.Generation > m.generation && m.phase != Granted {
-			m.stop("another process owns the address")
+			m.to(Over) // its listener's queue is its own to empty: the other one opened another
+			m.do(Stop{"another process owns the address"})
 		}
 	case Ending:
 		m.ending = true
--- a/internal/front/resp/front.go
+++ b/internal/front/resp/front.go
@@ -7,9 +7,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/redcon"
+	"golang.org/x/sys/unix"
 
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
@@ -65,8 +67,10 @@
 	busy  atomic.Int64 // requests open and bytes not yet written
 	takes atomic.Bool  // whoever asks is told that work is taken
 	plan  atomic.Pointer[drain.Plan]
-	srv   *redcon.Server
-	ln    net.Listener
+	// admitting: a connection was accepted, and waits for a place.
+	admitting atomic.Bool
+	srv       *redcon.Server
+	ln        net.Listener
 
 	mu      sync.Mutex
 	conns   map[*guard]struct{}
@@ -104,6 +108,29 @@
 // SetMost changes how many connections are held. Those that are open stay.
 func (f *Front) SetMost(n int) { f.most.Store(int64(n)) }
 
+// Accepts tells whether new connections are accepted here.
+func (f *Front) Accepts() bool { return f.halt() == nil }
+
+// Queued tells whether connections wait to be accepted here: they have been taken, and so has what they ask.
+func (f *Front) Queued() (some bool) {
+	if f.admitting.Load() {
+		return true
+	}
+	sc, ok := f.ln.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.SOL_TCP, unix.TCP_INFO)
+		some = err == nil && info.Unacked > 0 // of a listener: how many wait in its queue
+	})
+	return some
+}
+
 // Addr is where it listens.
 func (f *Front) Addr() string { return f.ln.Addr().String() }
 
--- a/internal/front/resp/guard.go
+++ b/internal/front/resp/guard.go
@@ -50,6 +50,8 @@
 // admitSoon books a new connection as soon as there is a place for it. Guards against an instant in which each connection that
 // is held waits for an answer or has a request unread: the one that comes has been accepted, and what it asks is owed.
 func (f *Front) admitSoon(nc net.Conn) (held *guard, ok bool) {
+	f.admitting.Store(true)
+	defer f.admitting.Store(false)
 	for end := f.clock.Now() + admitWithin; ; f.pause(acceptPause) {
 		if held, ok = f.admit(nc); ok || f.clock.Now() >= end {
 			return held, ok
@@ -100,6 +102,7 @@
 	case g.asked:
 	case g.read:
 		go g.shut()
+	case g.fresh(g.front.clock.Now()) || g.unread(): // its first frame may be on the way: the plan or the sweep ends it
 	case g.leave():
 		g.front.dismiss(g)
 	}
@@ -214,9 +217,12 @@
 	return true
 }
 
+// fresh tells whether it was accepted a moment ago and has not asked yet.
+func (g *guard) fresh(now float64) bool { return !g.asked && now-g.since < newFor }
+
 // facts are what the plan wants to know. Called under the front's lock.
 func (g *guard) facts(now float64) drain.Conn {
-	c := drain.Conn{Half: g.half, New: !g.asked && now-g.since < newFor, Unread: g.unread()}
+	c := drain.Conn{Half: g.half, New: g.fresh(now), Unread: g.unread()}
 	if g.client != nil {
 		g.client.mu.Lock()
 		c.Open = len(g.client.open) + len(g.client.out)
--- a/internal/front/resp/leave_test.go
+++ b/internal/front/resp/leave_test.go
@@ -77,6 +77,11 @@
 			_, err = g.Read(make([]byte, 99))
 			require.NoError(t, err)
 		}
+		if !asked {
+			require.NoError(t, g.Close())
+			require.Equal(t, 1, f.Held(), "it was accepted a moment ago")
+			clk.Advance(newFor)
+		}
 		require.NoError(t, g.Close())
 		if asked {
 			for range 20 {
