--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,7 +1,7 @@
 // Package policy decides for a request router in front of caches that fill from parent caches and an
 // origin. The types it is spoken to with (Settings, events, actions) are in api.go, what it holds is in
-// state.go; the tuned values are in this file, and the decisions in files by concern: request, pick, limit, chain, health,
-// learn, cold, members, purge and repeat.
+// state.go; the tuned values are in this file, and the decisions in files by concern: request, pick, limit,
+// chain, health, learn, cold, members, purge and repeat.
 //
 // The caller owns clock, timers and network. It calls Handle for each event with the time of its clock, and
 // carries out the returned actions in order. A Router is a state machine that starts no goroutine and gives
