--- a/cmd/ravenwheel/stepped_test.go
+++ b/cmd/ravenwheel/stepped_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/binary"
 	"fmt"
 	"os"
 	"os/exec"
@@ -16,6 +15,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/lab/fleet"
 	"ravenwheel/internal/scenario"
 )
 
@@ -65,20 +66,22 @@
 	for _, by := range []int{-3600, 3600, -7, 7} {
 		t.Run(fmt.Sprintf("%d s", by), func(t *testing.T) {
 			t.Parallel()
-			cache, board, listen := scenario.Listen(t), listenBoard(t), freeAddr(t)
+			cache, listen := scenario.Listen(t), freeAddr(t)
+			// Its first event is the one that the configuration knows, and it says each second that it is there.
+			board := fleet.NewBoard(clock.System(), []string{"z"}, []string{"small", "parent", "origin"}, nil)
+			door, err := board.Open("127.0.0.1:0")
+			require.NoError(t, err)
+			defer door.Close()
 			answers := &replies{}
 			go answers.serve(t, cache)
 			cmd := exec.Command(bin)
-			cmd.Env = append(os.Environ(), "LB_CONFIG="+configFile(t, listen, board.Addr().String(), cache.Addr()),
+			cmd.Env = append(os.Environ(), "LB_CONFIG="+configFile(t, listen, door.Addr(), cache.Addr()),
 				fmt.Sprintf("%s=%d", steppedBy, by), fmt.Sprintf("%s=%d", steppedAfter, after.Milliseconds()))
 			logs := &strings.Builder{}
 			cmd.Stderr = logs
 			require.NoError(t, cmd.Start())
 			started := time.Now()
 			defer func() { _ = cmd.Process.Kill() }()
-			watch, err := board.Accept()
-			require.NoError(t, err)
-			defer watch.Close()
 			require.Eventually(t, func() bool { there, err := served(listen); return there && err == nil }, time.Minute, 5*time.Millisecond)
 			c := scenario.Dial(t, listen)
 			n := 0
@@ -100,11 +103,7 @@
 			require.Zero(t, refused, "of 200 requests after the step")
 
 			purged := time.Now().UnixMilli()
-			frame := binary.BigEndian.AppendUint32(nil, 9+10)
-			frame = append(binary.BigEndian.AppendUint64(frame, 2), 4)
-			frame = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint16(frame, 17), uint64(purged))
-			_, err = watch.Write(frame)
-			require.NoError(t, err)
+			board.Purge("", 17, float64(purged))
 			time.Sleep(1100 * time.Millisecond) // the time to heed it
 			n++
 			require.Equal(t, "ok", ask(t, c, n))
