Log and count the calls to discovery: why, from which event, first frame, end, events after a silence

The incident's log could not answer when a watch was dialled, when its first frame came, why it ended and how late an event was heard. Each call now has a number and three lines (kind discovery, bounded by the log's rate), counters, and GET /v1/discovery on the admin address.

--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -137,7 +137,7 @@
 			n.Tell(boardAt, s.roster.Tell, purged)
 		}
 		s.board = &board.Client{
-			Addr: conf.Board, Last: conf.Rev, Silence: boardSilence, Redial: boardRedial, Seed: conf.Seed,
+			Addr: conf.Board, Last: conf.Rev, Silence: boardSilence, Redial: boardRedial, Seed: conf.Seed, Clock: clk, Log: log,
 			Notice: func(n board.Notice) { n.Dated(reader, clk.Now()).Tell(boardAt, s.roster.Tell, purged) },
 			Heard: func() {
 				reader.Heard(clk.Now())
@@ -162,6 +162,9 @@
 		if s.list != nil {
 			a.List = s.list.Status
 		}
+		if s.board != nil {
+			a.Discovery = s.board.Status
+		}
 		if s.admin, err = admin.Listen(a); err != nil {
 			s.close()
 			return nil, err
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -73,8 +73,10 @@
 	Peers  *peers.Peers        // nil: this process is alone
 	// Distribution tells how this process stands in the tree of distributors. nil: it is in none.
 	Distribution func() []distribution.Status
-	Shared       Shared
-	Desk         Desk // nil: this proxy is not one to be emptied by hand
+	// Discovery tells how discovery is followed. nil: there is none.
+	Discovery func() board.Status
+	Shared    Shared
+	Desk      Desk // nil: this proxy is not one to be emptied by hand
 }
 
 // Desk is the proxy as a whole in operators' hands.
@@ -151,6 +153,9 @@
 		mux.HandleFunc("POST /v1/peers", a.peer)
 		mux.HandleFunc("GET /v1/view", a.view)
 	}
+	if o.Discovery != nil {
+		mux.HandleFunc("GET /v1/discovery", func(w http.ResponseWriter, _ *http.Request) { reply(w, o.Discovery()) })
+	}
 	if o.Distribution != nil {
 		mux.HandleFunc("GET /v1/distribution", func(w http.ResponseWriter, _ *http.Request) { reply(w, o.Distribution()) })
 	}
--- a/internal/source/board/board.go
+++ b/internal/source/board/board.go
@@ -11,13 +11,17 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/logs"
 	"ravenwheel/policy"
 )
 
@@ -209,6 +213,12 @@
 	// Dial connects to a board; nil: package net's.
 	Dial func(ctx context.Context, addr string, within time.Duration) (net.Conn, error)
 
+	Clock    *clock.Clock // of what is reported; nil: the machine's
+	Log      *logs.Log    // nil: off
+	Counters Counters
+
+	heard atomic.Uint64 // Last, for Status
+
 	mu    sync.Mutex
 	leave context.CancelFunc // ends the connection of now
 }
@@ -221,6 +231,7 @@
 		return
 	}
 	c.Addr = addr
+	c.Counters.Moves.Add(1)
 	if c.leave != nil {
 		c.leave() // what the old one still holds open would tell nothing more
 	}
@@ -229,13 +240,18 @@
 // Run follows the board until ctx ends. Whatever breaks, it dials again with the last number it has.
 func (c *Client) Run(ctx context.Context) {
 	again, heard := c.redials(), true
+	why, before := ReasonStart, c.Addr
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		at, leave := context.WithCancel(ctx)
 		addr := c.Addr
 		c.leave = leave
 		c.mu.Unlock()
-		heard = c.follow(at, addr, heard)
+		if addr != before {
+			why, before = ReasonMoved, addr
+		}
+		heard = c.follow(at, addr, heard, why)
+		why = ReasonAgain
 		pause := again(heard)
 		select {
 		case <-at.Done(): // ended, or moved
@@ -293,14 +309,25 @@
 const crowded = 2
 
 // follow reads one connection to its end, and tells whether a frame came over it. before is the same of the one before.
-func (c *Client) follow(ctx context.Context, addr string, before bool) (heard bool) {
-	silence := c.patience()
+func (c *Client) follow(ctx context.Context, addr string, before bool, why Reason) (heard bool) {
+	silence, began, frames := c.patience(), c.now(), 0
+	c.called(c.Counters.Calls.Load()+1, addr, why)
+	number := c.Counters.Calls.Load()
+	end := func(why Reason, err error) {
+		if ctx.Err() != nil {
+			why = ReasonMoved
+		} else if errors.Is(err, os.ErrDeadlineExceeded) {
+			why = ReasonSilent
+		}
+		c.hungUp(number, why, began, frames, err)
+	}
 	dial := c.Dial
 	if dial == nil {
 		dial = dialTCP
 	}
 	nc, err := dial(ctx, addr, silence)
 	if err != nil {
+		end(ReasonDial, err)
 		return false
 	}
 	defer nc.Close()
@@ -308,6 +335,7 @@
 	var last [8]byte
 	binary.BigEndian.PutUint64(last[:], c.Last)
 	if _, err := nc.Write(last[:]); err != nil {
+		end(ReasonBroken, err)
 		return false
 	}
 	in := &patient{nc, silence}
@@ -317,8 +345,11 @@
 	for {
 		n, kind, err := readFrame(in)
 		if err != nil {
+			end(ReasonBroken, err)
 			return heard
 		}
+		c.spoke(number, !heard, began, n)
+		frames++
 		heard, in.silence = true, silence
 		if kind == kindNothing && c.Heard != nil {
 			c.Heard()
@@ -327,6 +358,7 @@
 			continue
 		}
 		c.Last = n.Rev
+		c.heard.Store(n.Rev)
 		if n.Purge != nil || n.Whole || n.Members != nil {
 			c.Notice(n)
 		}
