Discovery moved in a row, a trickled purge, a folder that fails for a while: failing tests

Whole processes on loopback, doors of the stand-in board that keep callers waiting, break them off or trickle. The log settles it: the fourth call is made at the last move, and nothing follows.

--- a/internal/lab/fleet/board.go
+++ b/internal/lab/fleet/board.go
@@ -39,9 +39,17 @@
 
 	mu      sync.Mutex
 	stalled bool
+	treat   func(caller int64) CallerFault // nil: all are treated well
 	conns   map[net.Conn]struct{}
 }
 
+// CallerFault is how a door treats one caller. The zero value is a door that is well.
+type CallerFault struct {
+	Silent    bool    // nothing is said to it, for as long as it waits
+	BreakOff  bool    // its connection is ended as soon as it has asked
+	ByteEvery float64 // ms between two bytes of what it is told; 0: at once
+}
+
 // The kinds of event, as their frames name them.
 const (
 	kindNothing = iota
@@ -170,6 +178,24 @@
 	d.stalled = on
 }
 
+// Treat sets how each caller is treated, by its number at this door from 1 on. It is asked before every word.
+func (d *Door) Treat(treat func(caller int64) CallerFault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.treat = treat
+}
+
+// fault is how a caller is treated now.
+func (d *Door) fault(caller int64) (f CallerFault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.treat != nil {
+		f = d.treat(caller)
+	}
+	f.Silent = f.Silent || d.stalled
+	return f
+}
+
 // Close ends the door and what came through it.
 func (d *Door) Close() {
 	_ = d.ln.Close()
@@ -192,7 +218,7 @@
 	if _, err := io.ReadFull(nc, last[:]); err != nil {
 		return
 	}
-	d.Calls.Add(1)
+	caller := d.Calls.Add(1)
 	go func() { // it says nothing more: a read that ends is its end
 		_, _ = io.Copy(io.Discard, nc)
 		close(gone)
@@ -203,17 +229,18 @@
 		b.mu.Lock()
 		wake, frames := b.wake, b.frames[min(next, len(b.frames)):]
 		b.mu.Unlock()
-		d.mu.Lock()
-		stalled := d.stalled
-		d.mu.Unlock()
-		if !stalled {
+		fault := d.fault(caller)
+		if fault.BreakOff {
+			return
+		}
+		if !fault.Silent {
 			if len(frames) == 0 {
 				frames = [][]byte{frame(uint64(next), kindNothing, nil)}
 			} else {
 				next += len(frames)
 			}
 			for _, f := range frames {
-				if _, err := nc.Write(f); err != nil {
+				if err := d.write(nc, caller, f); err != nil {
 					return
 				}
 			}
@@ -230,3 +257,24 @@
 		stop()
 	}
 }
+
+// write writes a frame as its caller is treated, at once or a byte at a time.
+func (d *Door) write(nc net.Conn, caller int64, frame []byte) error {
+	for len(frame) > 0 {
+		size := len(frame)
+		every := d.fault(caller).ByteEvery
+		if every > 0 {
+			size = 1
+		}
+		if _, err := nc.Write(frame[:size]); err != nil {
+			return err
+		}
+		frame = frame[size:]
+		if every > 0 {
+			over := make(chan struct{})
+			d.board.clk.After(every, func() { close(over) })
+			<-over
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/folder_test.go
@@ -0,0 +1,75 @@
+package state_test
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/recovery"
+	"ravenwheel/internal/journal/vfs"
+	"ravenwheel/internal/state"
+)
+
+// sick is a file system whose syncs and creates fail for as long as it is said to.
+type sick struct {
+	vfs.FS
+	now atomic.Bool
+}
+
+type sickFile struct {
+	vfs.File
+	fs *sick
+}
+
+// Create implements vfs.FS.
+func (s *sick) Create(name string) (vfs.File, error) {
+	if s.now.Load() {
+		return nil, syscall.EIO
+	}
+	f, err := s.FS.Create(name)
+	return sickFile{f, s}, err
+}
+
+// Sync implements vfs.File.
+func (f sickFile) Sync() error {
+	if f.fs.now.Load() {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+// Syncs and creates in the state's folder failed for two seconds, and the process panicked: "invalid memory address or nil pointer
+// dereference" in Keeper.heal. After a sync that failed the journal is opened anew, and where that failed too, the next try closed
+// a journal that was not there. What was told meanwhile has to be on disk once the folder is well again, in the order in which it
+// was told.
+func TestFolderFailsForAWhile(t *testing.T) {
+	clk, disk := clock.Manual(1e12), vfs.NewSim(-1)
+	fs := &sick{FS: disk}
+	k, _, err := state.Open(options(fs, clk))
+	require.NoError(t, err)
+	fs.now.Store(true)
+	require.Error(t, k.Drained(9, true))
+	k.Purging(recovery.Purge{Object: "o", Made: clk.Now(), Told: clk.Now()})
+	for range 20 {
+		clk.Advance(100)
+		time.Sleep(time.Millisecond)
+	}
+	fs.now.Store(false)
+	require.Eventually(t, func() bool {
+		clk.Advance(100)
+		st := k.Status()
+		return st.Waiting == 0 && st.Purges == 1 && st.Journal.Failed == ""
+	}, time.Minute, time.Millisecond)
+	require.NoError(t, k.Drained(9, false))
+	require.NoError(t, k.Close())
+	disk.Restart(rand.New(rand.NewPCG(1, 1)))
+	_, plan, err := state.Open(options(disk, clk))
+	require.NoError(t, err)
+	require.Len(t, plan.Purges, 1)
+	require.Empty(t, plan.Hand, "what was told last counts")
+}
