Discovery is followed by a pure decider: a call that is silent gets another one beside it

Cause: a connection that a move had left counted as one that told nothing, so that the first word at the next address was waited for twice as long and the pauses began long; and any byte put off the moment at which a connection counted as silent. Both are state of one connection counted against the next, and one timer for a board that hangs and one that is crowded. Now internal/decide/discovery decides (moved, ended, progress, word, tick; dial, close, wake, overdue), three calls at most, the first whole frame wins, a move begins afresh; board.Client carries it out.

--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -12,6 +12,7 @@
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
+	"ravenwheel/internal/decide/discovery"
 	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/decide/recovery"
 	"ravenwheel/internal/decide/serverlist"
@@ -29,8 +30,6 @@
 )
 
 const (
-	// boardSilence: the board's frames come each second.
-	boardSilence, boardRedial = 2500 * time.Millisecond, 100 * time.Millisecond
 	// storeDrain: ms for which a server drains that the store's list drops, where no watched list says otherwise.
 	storeDrain = 10_000
 	// reloadTries, reloadPause: a configuration that can't be read for the moment, out of descriptors say, is read again.
@@ -137,7 +136,7 @@
 			n.Tell(boardAt, s.roster.Tell, purged)
 		}
 		s.board = &board.Client{
-			Addr: conf.Board, Last: conf.Rev, Silence: boardSilence, Redial: boardRedial, Seed: conf.Seed, Clock: clk, Log: log,
+			Addr: conf.Board, Last: conf.Rev, Follow: discovery.Usual(conf.Seed, clock.Ms(conf.Settings.PurgeNotice)), Clock: clk, Log: log,
 			Notice: func(n board.Notice) { n.Dated(reader, clk.Now()).Tell(boardAt, s.roster.Tell, purged) },
 			Heard: func() {
 				reader.Heard(clk.Now())
--- /dev/null
+++ b/internal/source/board/client.go
@@ -0,0 +1,327 @@
+package board
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/discovery"
+	"ravenwheel/internal/logs"
+)
+
+// Client follows discovery, wherever it moves. It carries out what decide/discovery decides: one goroutine decides, and one for
+// each call dials and reads.
+type Client struct {
+	Addr   string // at the start; see Move
+	Last   uint64 // number of the last event known at the start
+	Follow discovery.Settings
+	Notice func(Notice)
+	Heard  func() // a frame came that tells nothing new; may be nil
+	// Overdue tells that what discovery holds may bind without having been heard since so many ms of the clock, and Current that all
+	// was heard again; may be nil.
+	Overdue func(lastWord float64)
+	Current func()
+	// Dial connects to an address; nil: package net's.
+	Dial  func(ctx context.Context, addr string) (net.Conn, error)
+	Clock *clock.Clock
+	Log   *logs.Log // nil: off
+
+	counters counters
+	last     atomic.Uint64 // number of the last event heard
+
+	mu    sync.Mutex
+	moves []string      // addresses that were named, in order, and not yet heeded
+	moved chan struct{} // there may be some
+}
+
+// Move names an address anew, that of now or another one. The numbers go on there: the last one known is asked from.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	c.moves = append(c.moves, addr)
+	c.mu.Unlock()
+	select {
+	case c.signal() <- struct{}{}:
+	default:
+	}
+}
+
+// signal is where a move is told to the loop.
+func (c *Client) signal() chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.moved == nil {
+		c.moved = make(chan struct{}, 1)
+	}
+	return c.moved
+}
+
+func (c *Client) takeMoves() (moves []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	moves, c.moves = c.moves, nil
+	return moves
+}
+
+// message is what a call tells the loop: a whole frame, or with an error its end.
+type message struct {
+	from   *call
+	notice Notice
+	kind   byte
+	err    error
+}
+
+// loop is a client that runs.
+type loop struct {
+	*Client
+	ctx      context.Context
+	follower *discovery.Follower
+	calls    map[discovery.CallID]*call
+	messages chan message
+	tick     chan struct{}
+	unset    func() // of the timer
+	acts     []discovery.Action
+}
+
+// Run follows discovery until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	c.last.Store(c.Last)
+	l := &loop{
+		Client: c, ctx: ctx, follower: discovery.New(c.Follow), calls: map[discovery.CallID]*call{},
+		messages: make(chan message), tick: make(chan struct{}, 1), unset: func() {},
+	}
+	defer func() { l.unset() }()
+	moved := c.signal()
+	c.counters.lastWord.Store(int64(c.Clock.Now()))
+	c.counters.follows(c.Addr)
+	l.handle(discovery.Start{Addr: c.Addr})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-l.messages:
+			l.hear(m)
+		case <-moved:
+			for _, addr := range c.takeMoves() {
+				c.counters.moves.Add(1)
+				c.counters.follows(addr)
+				l.handle(discovery.Move{Addr: addr})
+			}
+		case <-l.tick:
+			l.measure()
+			l.handle(discovery.Tick{})
+		}
+	}
+}
+
+// hear takes what a call tells. One that was closed meanwhile counts for nothing.
+func (l *loop) hear(m message) {
+	if l.calls[m.from.id] != m.from {
+		return
+	}
+	if m.err != nil {
+		delete(l.calls, m.from.id)
+		m.from.cancel()
+		l.ended(m.from, m.from.reason(), m.err)
+		l.handle(discovery.Ended{Call: m.from.id})
+		return
+	}
+	l.spoke(m.from, m.notice, l.last.Load())
+	l.handle(discovery.Word{Call: m.from.id})
+	if m.kind == kindNothing && l.Heard != nil {
+		l.Heard()
+	}
+	if m.kind == kindNothing || m.notice.Rev <= l.last.Load() {
+		return
+	}
+	l.last.Store(m.notice.Rev)
+	if m.notice.Purge != nil || m.notice.Whole || m.notice.Members != nil {
+		l.Notice(m.notice)
+	}
+}
+
+// measure tells how far the frames are that are coming.
+func (l *loop) measure() {
+	for id, c := range l.calls {
+		if p := c.progress(); p.Have > 0 {
+			p.Call = id
+			l.handle(p)
+		}
+	}
+}
+
+// handle has an event decided on, and carries out what follows.
+func (l *loop) handle(e discovery.Event) {
+	l.acts = l.follower.Handle(l.Clock.Now(), e, l.acts[:0])
+	for _, a := range l.acts {
+		switch a := a.(type) {
+		case discovery.Dial:
+			l.dial(a)
+		case discovery.Close:
+			l.close(a)
+		case discovery.Wake:
+			l.wake(a.At)
+		case discovery.Overdue:
+			l.overdue(a.LastWord)
+			if l.Overdue != nil {
+				l.Overdue(a.LastWord)
+			}
+		case discovery.Current:
+			if l.Current != nil {
+				l.Current()
+			}
+		}
+	}
+}
+
+func (l *loop) dial(d discovery.Dial) {
+	ctx, cancel := context.WithCancel(l.ctx)
+	c := &call{id: d.Call, addr: d.Addr, began: l.Clock.Now(), clock: l.Clock, cancel: cancel}
+	l.calls[d.Call] = c
+	l.called(c, d.Why)
+	go c.run(ctx, l)
+}
+
+func (l *loop) close(d discovery.Close) {
+	c := l.calls[d.Call]
+	delete(l.calls, d.Call)
+	c.cancel()
+	l.ended(c, d.Why, nil)
+}
+
+// wake sets the one timer. It tells the loop, and decides nothing: with a settable clock it runs wherever that is moved.
+func (l *loop) wake(at float64) {
+	l.unset()
+	l.unset = l.Clock.After(at-l.Clock.Now(), func() {
+		select {
+		case l.tick <- struct{}{}:
+		default:
+		}
+	})
+}
+
+// call is one connection to discovery, from its dial to its end.
+type call struct {
+	id     discovery.CallID
+	addr   string
+	began  float64
+	clock  *clock.Clock
+	cancel context.CancelFunc
+	frames int // whole ones, of the loop alone
+
+	mu    sync.Mutex
+	up    bool
+	frame discovery.Progress // under way
+}
+
+// run dials, asks for what comes after the last event heard, and tells each frame.
+func (c *call) run(ctx context.Context, l *loop) {
+	tell := func(m message) {
+		m.from = c
+		select {
+		case l.messages <- m:
+		case <-ctx.Done():
+		}
+	}
+	dial := l.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	nc, err := dial(ctx, c.addr)
+	if err != nil {
+		tell(message{err: err})
+		return
+	}
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+	c.isUp()
+	var last [8]byte
+	binary.BigEndian.PutUint64(last[:], l.last.Load())
+	if _, err := nc.Write(last[:]); err != nil {
+		tell(message{err: err})
+		return
+	}
+	in := measured{nc, c}
+	for ctx.Err() == nil {
+		n, kind, err := readFrame(in, c.expect)
+		if err != nil {
+			tell(message{err: err})
+			return
+		}
+		c.whole()
+		tell(message{notice: n, kind: kind})
+	}
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// measured notes what is read of a call's frame.
+type measured struct {
+	net.Conn
+	call *call
+}
+
+// Read implements io.Reader.
+func (m measured) Read(b []byte) (int, error) {
+	n, err := m.Conn.Read(b)
+	m.call.read(n)
+	return n, err
+}
+
+func (c *call) isUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.up = true
+}
+
+func (c *call) read(n int) {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.frame.Have == 0 {
+		c.frame.Began = now
+	}
+	c.frame.Have, c.frame.Latest = c.frame.Have+n, now
+}
+
+func (c *call) expect(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frame.Want = size
+}
+
+func (c *call) whole() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frame = discovery.Progress{}
+}
+
+func (c *call) progress() discovery.Progress {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.frame
+}
+
+// reason is why a call that has ended by itself has.
+func (c *call) reason() discovery.Reason {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.up {
+		return discovery.ReasonFailed
+	}
+	return discovery.ReasonBroken
+}
+
+// errText is the text of an error, if there is one.
+func errText(err error) string {
+	if err == nil || errors.Is(err, net.ErrClosed) {
+		return ""
+	}
+	return err.Error()
+}
