A state folder that fails for a while ends no process, and what waits is kept in order

Read on the way and mended: with a full disk each event set a retry of its own and the pause grew to 30 s; an event that was told later could overtake one that waited, so that a server given back was found drained after a restart; the number of the last record was not read anew; what waited was not tried once more as the process ends.

--- a/internal/decide/recovery/state.go
+++ b/internal/decide/recovery/state.go
@@ -86,6 +86,22 @@
 	Shift float64 `cbor:"9,keyasint,omitempty"`
 }
 
+// Supersedes tells whether an event makes an older one void: of the same server, or of the same list. Purges and revisions come
+// out the same in any order.
+func (e Event) Supersedes(old Event) bool {
+	switch {
+	case old.At > e.At:
+		return false
+	case e.Hand != nil:
+		return old.Hand != nil && old.Hand.ID == e.Hand.ID
+	case e.Member != nil:
+		return old.Member != nil && old.Member.ID == e.Member.ID
+	case e.List != nil:
+		return old.List != nil && old.List.Source == e.List.Source && old.List.Generation <= e.List.Generation
+	}
+	return false
+}
+
 // Hand is a drain by hand, or its end.
 type Hand struct {
 	ID uint64 `cbor:"1,keyasint"`
--- a/internal/state/folder_test.go
+++ b/internal/state/folder_test.go
@@ -73,3 +73,34 @@
 	require.Len(t, plan.Purges, 1)
 	require.Empty(t, plan.Hand, "what was told last counts")
 }
+
+// The folder fails once more, in each way for a moment, as an operator drains a server and gives it back: whichever of the two was
+// kept first, a restart finds the server given back.
+func TestLastWordCountsAfterAFailure(t *testing.T) {
+	for name, fail := range map[string]func(disk *vfs.Sim, fs *sick, on bool){
+		"full": func(disk *vfs.Sim, _ *sick, on bool) {
+			if disk.Room(-1); on {
+				disk.Room(0)
+			}
+		},
+		"sick": func(_ *vfs.Sim, fs *sick, on bool) { fs.now.Store(on) },
+	} {
+		for between := range 4 { // retries
+			clk, disk := clock.Manual(1e12), vfs.NewSim(-1)
+			fs := &sick{FS: disk}
+			k, _, err := state.Open(options(fs, clk))
+			require.NoError(t, err)
+			fail(disk, fs, true)
+			require.Error(t, k.Drained(9, true), name)
+			clk.Advance(float64(between) * 700)
+			fail(disk, fs, false)
+			clk.Advance(1)
+			_ = k.Drained(9, false) // kept now, or with what waits
+			require.NoError(t, k.Close(), "what waits is kept as the process ends")
+			disk.Restart(rand.New(rand.NewPCG(1, 1)))
+			_, plan, err := state.Open(options(disk, clk))
+			require.NoError(t, err)
+			require.Empty(t, plan.Hand, "%s, %d retries later", name, between)
+		}
+	}
+}
--- a/internal/state/keeper.go
+++ b/internal/state/keeper.go
@@ -4,7 +4,7 @@
 
 import (
 	"errors"
-	"math/rand/v2"
+	"slices"
 	"sync"
 
 	"ravenwheel/internal/clock"
@@ -30,8 +30,6 @@
 const (
 	// usualEach records are replayed in a few milliseconds, and a snapshot costs as much as writing them again.
 	usualEach = 4096
-	// healAfter ms a journal that failed is opened anew, and at most healMost ms after the time before.
-	healAfter, healMost = 500, 30_000
 	// mostSegments are read at a start before a snapshot is put in their place.
 	mostSegments = 16
 	// mostLost events wait for a journal to come back; more are dropped, oldest first, and said so.
@@ -42,15 +40,20 @@
 type Keeper struct {
 	opt Options
 
+	reopening sync.Mutex // held by who opens the journal anew
+	order     sync.Mutex // held while events are handed to the journal, so that none overtakes an older one
+
 	mu         sync.Mutex
 	j          *journal.Journal // nil: failed, and not open again yet
+	failed     *journal.Journal // the one before, to be closed
 	state      *recovery.State  // of what is on disk
 	number     uint64           // of the last record in it
 	since      int              // records since the last snapshot
 	compacting bool
 	lost       []recovery.Event // not on disk, in order
 	dropped    int
-	healing    float64 // ms until the next try
+	retrying   bool    // a retry is set
+	pause      float64 // ms until the next one
 	closed     bool
 }
 
@@ -94,7 +97,7 @@
 	if o.Each <= 0 {
 		o.Each = usualEach
 	}
-	k := &Keeper{opt: o, healing: healAfter}
+	k := &Keeper{opt: o, pause: retryAfter}
 	t := &target{state: recovery.NewState()}
 	j, err := journal.Open(o.Dir, journal.Options{FS: o.FS, Clock: o.Clock, Delay: o.Delay}, t)
 	if err != nil {
@@ -166,8 +169,28 @@
 
 func (k *Keeper) keep(e recovery.Event) { k.start(e, func(error) {}) }
 
-// start hands an event to the journal. What the journal could not take is kept for when it can.
+// start hands an event to the journal. What the journal could not take is kept for when it can, and so is all that comes behind it.
 func (k *Keeper) start(e recovery.Event, end func(error)) {
+	k.order.Lock()
+	defer k.order.Unlock()
+	k.mu.Lock()
+	closed, waits := k.closed && k.j == nil, k.j == nil || len(k.lost) > 0
+	if waits && !closed {
+		k.lose(e)
+	}
+	k.mu.Unlock()
+	switch {
+	case closed:
+		end(journal.ErrClosed)
+	case waits:
+		end(journal.ErrFailed)
+	default:
+		k.submit(e, end)
+	}
+}
+
+// submit hands an event to the journal that is open. The caller holds order.
+func (k *Keeper) submit(e recovery.Event, end func(error)) {
 	raw, err := e.Encode()
 	if err != nil {
 		end(err)
@@ -175,15 +198,12 @@
 	}
 	k.mu.Lock()
 	j := k.j
-	if j == nil && !k.closed {
+	if j == nil { // it has failed meanwhile
 		k.lose(e)
-		k.mu.Unlock()
-		end(journal.ErrFailed)
-		return
 	}
 	k.mu.Unlock()
 	if j == nil {
-		end(journal.ErrClosed)
+		end(journal.ErrFailed)
 		return
 	}
 	j.Start(raw, func(number uint64, err error) {
@@ -200,78 +220,27 @@
 		if errors.Is(err, journal.ErrClosed) && k.closed {
 			return
 		}
+		if errors.Is(err, journal.ErrTooLarge) { // it never will be taken
+			k.dropped++
+			return
+		}
 		k.lose(e)
 		k.opt.Log.Error("state").Err(err).Int("waiting", len(k.lost)).Msg("state is not kept: in force all the same, and lost in a crash")
-		if k.j == j {
-			k.heal(!errors.Is(err, journal.ErrFull))
+		if k.j == j && !errors.Is(err, journal.ErrFull) {
+			k.j, k.failed = nil, j // after a sync that failed the journal is opened anew
 		}
 		return
 	}
 	k.state.Apply(e)
 	k.number = number
+	// Guards against an older event that was not kept and is kept later than this one, which it would undo.
+	k.lost = slices.DeleteFunc(k.lost, e.Supersedes)
 	if k.since++; k.since >= k.opt.Each && !k.compacting && !k.closed {
 		k.compacting = true
 		go k.compact(j)
 	}
 }
 
-func (k *Keeper) lose(e recovery.Event) {
-	if len(k.lost) >= mostLost {
-		k.lost = k.lost[1:]
-		k.dropped++
-	}
-	k.lost = append(k.lost, e)
-}
-
-// heal tries again later what could not be kept. After a sync that failed the journal is opened anew.
-func (k *Keeper) heal(reopen bool) {
-	old := k.j
-	if reopen {
-		k.j = nil
-	}
-	wait := k.healing * (0.5 + rand.Float64())
-	k.healing = min(2*k.healing, healMost)
-	k.opt.Clock.After(wait, func() {
-		if reopen {
-			_ = old.Close()
-		}
-		k.again(reopen)
-	})
-}
-
-func (k *Keeper) again(reopen bool) {
-	k.mu.Lock()
-	if k.closed {
-		k.mu.Unlock()
-		return
-	}
-	if reopen {
-		t := &target{state: recovery.NewState()}
-		j, err := journal.Open(k.opt.Dir, journal.Options{FS: k.opt.FS, Clock: k.opt.Clock, Delay: k.opt.Delay}, t)
-		if err != nil {
-			k.opt.Log.Error("state").Err(err).Msg("the state's journal can't be opened anew")
-			k.heal(true)
-			k.mu.Unlock()
-			return
-		}
-		k.j, k.state, k.since = j, t.state, t.count
-	}
-	lost := k.lost
-	k.lost = nil
-	k.mu.Unlock()
-	for i, e := range lost {
-		last := i == len(lost)-1
-		k.start(e, func(err error) {
-			if err == nil && last {
-				k.mu.Lock()
-				k.healing = healAfter
-				k.mu.Unlock()
-				k.opt.Log.Info("state").Int("events", len(lost)).Msg("state is kept again")
-			}
-		})
-	}
-}
-
 // compact prunes the state and puts a snapshot in place of its records.
 func (k *Keeper) compact(j *journal.Journal) {
 	k.mu.Lock()
@@ -327,14 +296,24 @@
 	return s
 }
 
-// Close keeps what is under way and lets go of the directory.
+// Close keeps what is under way, and what waited for the journal if it takes that now, and lets go of the directory.
 func (k *Keeper) Close() error {
+	k.mu.Lock()
+	waiting := len(k.lost) > 0 && !k.closed
+	k.mu.Unlock()
+	if waiting {
+		k.retry()
+	}
 	k.mu.Lock()
 	k.closed = true
-	j := k.j
+	j, failed := k.j, k.failed
+	k.failed = nil
 	k.mu.Unlock()
-	if j == nil {
-		return nil
+	var err error
+	for _, open := range []*journal.Journal{failed, j} {
+		if open != nil {
+			err = errors.Join(err, open.Close())
+		}
 	}
-	return j.Close()
+	return err
 }
