A configuration that is read while it is written is read again, and once more when discovery is overdue

Cause: SIGHUP read the file once (and again for a second only where the call failed); a half-written file left the process at the old address for good. The next signal ends the waiting.

--- /dev/null
+++ b/cmd/ravenwheel/reload_test.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/config"
+)
+
+// reloading is a reloader of a file, and what it followed.
+type reloading struct {
+	t        *testing.T
+	path     string
+	good     []byte
+	signals  chan os.Signal
+	followed chan string
+}
+
+const oldAddr, newAddr = "127.0.0.1:1001", "127.0.0.1:1002"
+
+func startReloading(t *testing.T) *reloading {
+	r := &reloading{t: t, path: configFile(t, "127.0.0.1:1", oldAddr, "127.0.0.1:1"), signals: make(chan os.Signal, mostSignals), followed: make(chan string, 100)}
+	var err error
+	r.good, err = os.ReadFile(r.path)
+	require.NoError(t, err)
+	getenv := func(name string) string { return map[string]string{"LB_CONFIG": r.path}[name] }
+	start, err := config.Load(getenv)
+	require.NoError(t, err)
+	x := &reloader{
+		read: func() (*config.Config, error) { return config.Load(getenv) }, start: start, at: start.Board,
+		follow: func(addr string) { r.followed <- addr }, signals: r.signals,
+	}
+	go x.run()
+	return r
+}
+
+// at is the configuration with discovery at an address.
+func (r *reloading) at(addr string) []byte {
+	return []byte(replaceOnce(r.t, string(r.good), oldAddr, addr))
+}
+
+func (r *reloading) write(text []byte) {
+	require.NoError(r.t, os.WriteFile(r.path, text, 0o600))
+}
+
+func (r *reloading) hup() {
+	select {
+	case r.signals <- syscall.SIGHUP:
+	default: // one waits already, as the kernel has it
+	}
+}
+
+// follows is that an address is followed next, whatever was read again before.
+func (r *reloading) follows(addr string) {
+	for {
+		select {
+		case got := <-r.followed:
+			if got == addr {
+				return
+			}
+			require.Equal(r.t, oldAddr, got)
+		case <-time.After(time.Minute):
+			require.Fail(r.t, "it is not followed", addr)
+		}
+	}
+}
+
+// The file is read while it is written: empty, cut at any of many places, not there, or as it was before. What it says once it is
+// whole is followed, though no other signal comes. Read once, it left the process at the old address for good.
+func TestReloadOfAFileThatIsBeingWritten(t *testing.T) {
+	whole := len(startReloading(t).at(newAddr))
+	for cut := 0; cut < whole; cut += whole / 12 {
+		r := startReloading(t)
+		r.write(r.at(newAddr)[:cut])
+		r.hup()
+		time.Sleep(20 * time.Millisecond)
+		r.write(r.at(newAddr))
+		r.follows(newAddr)
+	}
+	t.Run("not there", func(t *testing.T) {
+		r := startReloading(t)
+		require.NoError(t, os.Rename(r.path, filepath.Join(t.TempDir(), "old")))
+		r.hup()
+		time.Sleep(20 * time.Millisecond)
+		r.write(r.at(newAddr))
+		r.follows(newAddr)
+	})
+	t.Run("written after the signal", func(t *testing.T) {
+		r := startReloading(t)
+		r.hup()
+		require.Equal(t, oldAddr, <-r.followed, "the address of now is named again")
+		r.write(r.at(newAddr))
+		r.follows(newAddr)
+	})
+}
+
+// Ten signals in a row, with whole and broken files between: the last whole file counts.
+func TestReloadsTenInARow(t *testing.T) {
+	r := startReloading(t)
+	for n := range 10 {
+		text := r.at("127.0.0.1:" + []string{"2001", "2002"}[n%2])
+		if n%3 == 1 {
+			text = text[:len(text)/2]
+		}
+		r.write(text)
+		r.hup()
+		time.Sleep(time.Duration(n%4) * 10 * time.Millisecond)
+	}
+	r.write(r.at(newAddr))
+	r.hup()
+	for {
+		select {
+		case addr := <-r.followed:
+			if addr == newAddr {
+				return
+			}
+		case <-time.After(time.Minute):
+			require.Fail(t, "the last one is not followed")
+		}
+	}
+}
+
+// Discovery moved and this process was not told, as the signal went to one that it replaces: the file is read again once discovery
+// has not spoken for too long. One that names the address of now begins nothing anew.
+func TestReloadOnceOverdue(t *testing.T) {
+	r := startReloading(t)
+	overdue(r.signals)
+	time.Sleep(50 * time.Millisecond)
+	require.Empty(t, r.followed)
+	r.write(r.at(newAddr))
+	r.follows(newAddr)
+}
+
+// replaceOnce replaces what stands in a text exactly once.
+func replaceOnce(t *testing.T, text, from, to string) string {
+	require.Equal(t, 1, strings.Count(text, from))
+	return strings.Replace(text, from, to, 1)
+}
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -83,7 +83,7 @@
 		return err
 	}
 	// Taken before anything else is up: unhandled, SIGHUP would end the process.
-	reload := make(chan os.Signal, 1)
+	reload := make(chan os.Signal, mostSignals)
 	signal.Notify(reload, syscall.SIGHUP)
 	limit(conf)
 	if profile != "" {
@@ -153,11 +153,7 @@
 	place.serve(front, src)
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve() }()
-	go func() {
-		for range reload { // also while stopping: the board may move then too
-			src.again(log)
-		}
-	}()
+	go src.reloads(reload, log)
 	select {
 	case err := <-failed:
 		return err
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"path/filepath"
-	"slices"
-	"time"
 
 	"ravenwheel/internal/admin"
 	"ravenwheel/internal/clock"
@@ -25,15 +22,12 @@
 	"ravenwheel/internal/source/watch"
 	"ravenwheel/internal/state"
 	"ravenwheel/internal/store"
-	"ravenwheel/internal/transient"
 	"ravenwheel/policy"
 )
 
 const (
 	// storeDrain: ms for which a server drains that the store's list drops, where no watched list says otherwise.
 	storeDrain = 10_000
-	// reloadTries, reloadPause: a configuration that can't be read for the moment, out of descriptors say, is read again.
-	reloadTries, reloadPause = 20, 50 * time.Millisecond
 	// silentAfter: ms without a frame after which an operator is told that the board is silent.
 	silentAfter = 10_000
 )
@@ -56,7 +50,9 @@
 	names  *names.Cache
 	facts  serverlist.Facts
 	member bool // of the store: what operators do goes to all of its members
-	only   bool // it hears what the store holds and is no member: what operators do there is done at one
+	// overdue tells that discovery has not spoken for too long.
+	overdue chan struct{}
+	only    bool // it hears what the store holds and is no member: what operators do there is done at one
 }
 
 // startSources takes in what is known at the start, and follows what comes later: shared brings the facts of the store,
@@ -64,7 +60,7 @@
 // and what operators empty (nil: neither).
 func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, shared shared,
 	talk *peers.Peers, at *place) (*sources, error) {
-	s := &sources{store: shared.store, member: shared.member(o), only: shared.only(o), core: c, conf: conf, clk: clk, names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
+	s := &sources{store: shared.store, member: shared.member(o), only: shared.only(o), core: c, conf: conf, clk: clk, overdue: make(chan struct{}, 1), names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
 	s.facts = conf.Facts(0)
 	set := membership.Settings{}
 	fileAt, storeAt, boardAt := -1, -1, -1
@@ -136,7 +132,7 @@
 			n.Tell(boardAt, s.roster.Tell, purged)
 		}
 		s.board = &board.Client{
-			Addr: conf.Board, Last: conf.Rev, Follow: discovery.Usual(conf.Seed, clock.Ms(conf.Settings.PurgeNotice)), Clock: clk, Log: log,
+			Addr: conf.Board, Last: conf.Rev, Follow: discovery.Usual(conf.Seed, clock.Ms(conf.Settings.PurgeNotice)), Clock: clk, Log: log, Overdue: s.isOverdue,
 			Notice: func(n board.Notice) { n.Dated(reader, clk.Now()).Tell(boardAt, s.roster.Tell, purged) },
 			Heard: func() {
 				reader.Heard(clk.Now())
@@ -180,6 +176,14 @@
 	return s, nil
 }
 
+// isOverdue tells that discovery has not spoken for too long, since a time.
+func (s *sources) isOverdue(float64) {
+	select {
+	case s.overdue <- struct{}{}:
+	default:
+	}
+}
+
 // listSource is the name under which the watched list is kept: there is one, whatever its file is called.
 const listSource = "list"
 
@@ -236,36 +240,6 @@
 	return nil
 }
 
-// again reads the configuration anew. The notice board's address is followed; the rest takes a restart. A file that
-// can't be used leaves the old configuration in force.
-func (s *sources) again(log *logs.Log) {
-	if s.board == nil {
-		log.Info("reload").Msg("reload: nothing to read anew; lists are watched")
-		return
-	}
-	conf, err := config.Load(os.Getenv)
-	for tries := 1; transient.Is(err) && tries < reloadTries; tries++ { // it would be followed at the old address for good
-		time.Sleep(reloadPause)
-		conf, err = config.Load(os.Getenv)
-	}
-	if err != nil {
-		log.Error("reload").Err(err).Msg("reload: the old configuration stays")
-		return
-	}
-	if !extends(conf.Names.Zones, s.conf.Names.Zones) || !extends(conf.Names.Kinds, s.conf.Names.Kinds) {
-		// Guards against a board whose numbers point into other lists than those that this process was started with.
-		log.Error("reload").Msg("reload: the file has other zones or kinds of machine, which takes a restart: the old configuration stays")
-		return
-	}
-	s.board.Move(conf.Board)
-	log.Info("reload").Str("board", conf.Board).Msg("reload: the notice board is followed there")
-}
-
-// extends tells whether a list has the names of another one in the same places.
-func extends(list, other []string) bool {
-	return len(list) >= len(other) && slices.Equal(list[:len(other)], other)
-}
-
 func (s *sources) close() {
 	if s.list != nil {
 		s.list.Close()
