--- /dev/null
+++ b/cmd/ravenwheel/discovery_soak_test.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/lab/fleet"
+	"ravenwheel/policy"
+)
+
+const (
+	// discoverySoakFirst, discoverySoakLast: the seeds in CI.
+	discoverySoakFirst, discoverySoakLast = 1, 6
+	// discoveryDoors is at how many addresses discovery may be.
+	discoveryDoors = 5
+	// lullFor: ms from a row of troubles to the next, in which what was held has to be heard.
+	lullFor = 5500
+)
+
+// Discovery has troubles in a row, in an order that the seed draws: moves, reloads of the address of now, breaks, stops, trickles,
+// files that are written while they are read, and behind them callers that are kept waiting, broken off or told a byte a second.
+// Purges and drains go on meanwhile, and calls of the system fail. What the servers see is held against the sum of each trouble.
+func TestSoakOfDiscovery(t *testing.T) {
+	soakSeeds(t, discoverySoakFirst, discoverySoakLast, newDiscoverySoak)
+}
+
+func newDiscoverySoak(t *testing.T, bin string, seed uint64) *soak {
+	s := newSoak(t, bin, seed)
+	s.plan.discovery = true
+	s.plan.runs = time.Duration(9000+s.rng.IntN(5000)) * time.Millisecond
+	for len(s.doors) < discoveryDoors {
+		d, err := s.board.Open("127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(d.Close)
+		s.doors = append(s.doors, d)
+	}
+	return s
+}
+
+// The kinds of trouble that discovery tells of, as soak.trouble has them.
+const restartKind, drainKind, purgeKind = 4, 5, 6
+
+// serverChange draws what discovery has to tell of next: mostly purges, and drains and restarts in turn, as with all servers out
+// there would be nothing to see. A restart waits for a lull: it is notified at once, and what was held would count before it.
+func (s *soak) serverChange(id policy.CacheID) (kind int) {
+	draining := s.list[id].State == policy.Draining
+	out := 0
+	for _, m := range s.list {
+		if m.State == policy.Draining {
+			out++
+		}
+	}
+	switch {
+	case s.rng.IntN(2) == 0:
+	case draining && s.now() >= s.stalled:
+		return restartKind
+	case !draining && out == 0:
+		return drainKind
+	}
+	return purgeKind
+}
+
+// troubleDiscovery has one to four troubles some tens of ms apart, and then none for a while.
+func (s *soak) troubleDiscovery() {
+	for range 1 + s.rng.IntN(4) {
+		s.discoveryFault()
+		time.Sleep(time.Duration(10+s.rng.IntN(190)) * time.Millisecond)
+	}
+	s.lull = s.now() + lullFor
+}
+
+// discoveryFault is one trouble of discovery.
+func (s *soak) discoveryFault() {
+	switch s.rng.IntN(6) {
+	case 0, 1: // it moves
+		s.doors[s.at].Stall(true)
+		s.at = (s.at + 1 + s.rng.IntN(len(s.doors)-1)) % len(s.doors)
+		s.doors[s.at].Stall(false)
+		s.treatCallers(fleet.CallerFault{Silent: true}, 2)
+		s.write(s.at)
+		s.reload()
+	case 2: // the configuration names the address of now, whose calls say nothing more
+		s.treatCallers(fleet.CallerFault{Silent: true}, 2)
+		s.reload()
+	case 3:
+		s.treatCallers(fleet.CallerFault{}, 2)
+		s.hold(2000)
+		s.doors[s.at].Break()
+	case 4: // it stops, or trickles
+		told := fleet.CallerFault{Silent: true}
+		if s.rng.IntN(2) == 0 {
+			told = fleet.CallerFault{ByteEvery: 1000}
+		}
+		s.treatCallers(told, 1)
+		s.hold(4000)
+	case 5: // the file is read while it is written
+		whole, err := os.ReadFile(s.config)
+		require.NoError(s.t, err)
+		require.NoError(s.t, os.WriteFile(s.config, whole[:s.rng.IntN(len(whole))], 0o600))
+		s.reload()
+		time.Sleep(time.Duration(s.rng.IntN(300)) * time.Millisecond)
+		s.write(s.at)
+	}
+}
+
+func (s *soak) reload() {
+	s.hold(4000)
+	require.NoError(s.t, s.cmd.Process.Signal(syscall.SIGHUP))
+}
+
+// hold has what discovery holds count as notified so many ms from now on, also what it told in this moment and nobody has read.
+func (s *soak) hold(ms float64) {
+	const moment = 100
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	s.stalled = max(s.stalled, now+ms)
+	for i := range s.told {
+		if t := &s.told[i]; len(t.Returns) == 0 && t.At > now-moment {
+			t.At = max(t.At, s.stalled)
+		}
+	}
+}
+
+// treatCallers has those who have called the door of now treated so, and up to so many of the next ones badly, each in a way of its
+// own.
+func (s *soak) treatCallers(old fleet.CallerFault, most int) {
+	before := s.doors[s.at].Calls.Load()
+	var next []fleet.CallerFault
+	for range s.rng.IntN(most + 1) {
+		next = append(next, []fleet.CallerFault{{Silent: true}, {BreakOff: true}, {ByteEvery: 1000}}[s.rng.IntN(3)])
+	}
+	s.doors[s.at].Treat(func(caller int64) fleet.CallerFault {
+		switch n := caller - before; {
+		case n <= 0:
+			return old
+		case n <= int64(len(next)):
+			return next[n-1]
+		}
+		return fleet.CallerFault{}
+	})
+}
--- a/cmd/ravenwheel/soak_test.go
+++ b/cmd/ravenwheel/soak_test.go
@@ -33,7 +33,11 @@
 )
 
 func TestSoakOfProcesses(t *testing.T) {
-	first, last := soakFirst, soakLast
+	soakSeeds(t, soakFirst, soakLast, newSoak)
+}
+
+// soakSeeds plays the seeds from first to last, or those of SOAK_SEEDS.
+func soakSeeds(t *testing.T, first, last int, start func(t *testing.T, bin string, seed uint64) *soak) {
 	if text := os.Getenv("SOAK_SEEDS"); text != "" {
 		from, to, _ := strings.Cut(text, "-")
 		var err error
@@ -50,7 +54,7 @@
 				t.Parallel()
 				room <- struct{}{}
 				defer func() { <-room }()
-				newSoak(t, bin, uint64(seed)).play()
+				start(t, bin, uint64(seed)).play()
 			})
 		}
 	})
@@ -77,6 +81,8 @@
 	asked    map[string]*soakRequest
 	told     []fleet.Told
 	stalled  float64 // until when the board tells nothing
+	lull     float64 // until when discovery has no further trouble; see troubleDiscovery
+	at       int     // the door that the configuration names
 	broken   []string
 	termAt   atomic.Int64 // Unix µs of the first SIGTERM; 0: not yet
 	killedAt atomic.Int64 // and of the kill, or of the process's own end
@@ -94,6 +100,8 @@
 	crowd    int // idle clients
 	terms    int // SIGTERMs
 	runs     time.Duration
+
+	discovery bool // it has troubles of discovery in a row, and runs for long enough to see what follows
 }
 
 // soakRequest is one request as its client knows it. Times are in ms on the soak's clock.
@@ -288,9 +296,17 @@
 
 // trouble makes something happen: to servers, to the board, or by a signal.
 func (s *soak) trouble() {
+	if s.plan.discovery && s.now() >= s.lull {
+		s.troubleDiscovery()
+		return
+	}
 	id := policy.CacheID(1 + s.rng.IntN(soakCaches))
 	server := s.servers.Server(id)
-	switch s.rng.IntN(9) {
+	kind := s.rng.IntN(9)
+	if s.plan.discovery {
+		kind = s.serverChange(id)
+	}
+	switch kind {
 	case 0:
 		server.Set(fleet.Fault{Silent: true})
 	case 1:
--- a/internal/lab/fleet/board.go
+++ b/internal/lab/fleet/board.go
@@ -199,6 +199,11 @@
 // Close ends the door and what came through it.
 func (d *Door) Close() {
 	_ = d.ln.Close()
+	d.Break()
+}
+
+// Break ends all connections that came through the door.
+func (d *Door) Break() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for nc := range d.conns {
