Where discovery is overdue, no copy from before the notified moment does, until all is heard

Where the moment passes at which all that discovery holds counts as notified, and every call stayed silent or failed, a purge that nobody was told may bind: copies from before that moment are asked for by nobody, until discovery speaks or no older copy is left (twice the time in which they are dropped).

--- a/cmd/ravenwheel/discovery_test.go
+++ b/cmd/ravenwheel/discovery_test.go
@@ -176,3 +176,24 @@
 		})
 	}
 }
+
+// Discovery says nothing more, at any call, and a purge is made that nobody is told. Once it counts as notified, no request is
+// content with a copy from before it.
+func TestDiscoverySilentForGood(t *testing.T) {
+	bin := build(t)
+	for seed := range 2 {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			f := startFollower(t, bin, seed, 1)
+			time.Sleep(500 * time.Millisecond) // between two frames
+			f.doors[0].Stall(true)
+			since := time.Now()
+			purged := since.UnixMilli()
+			f.heedsWithin(since, notifiedAfterStop+purgeGrace)
+			f.answers.mu.Lock()
+			defer f.answers.mu.Unlock()
+			id := fmt.Sprintf("%016x", f.asked)
+			require.Greater(t, f.answers.came[id].UnixMilli()-newerOf(t, f.answers.asked[id]), purged, "a copy from before the purge would do")
+		})
+	}
+}
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -132,7 +132,7 @@
 			n.Tell(boardAt, s.roster.Tell, purged)
 		}
 		s.board = &board.Client{
-			Addr: conf.Board, Last: conf.Rev, Follow: discovery.Usual(conf.Seed, clock.Ms(conf.Settings.PurgeNotice)), Clock: clk, Log: log, Overdue: s.isOverdue,
+			Addr: conf.Board, Last: conf.Rev, Follow: discovery.Usual(conf.Seed, clock.Ms(conf.Settings.PurgeNotice)), Clock: clk, Log: log, Overdue: s.isOverdue, Current: func() { c.Overdue(false, 0) },
 			Notice: func(n board.Notice) { n.Dated(reader, clk.Now()).Tell(boardAt, s.roster.Tell, purged) },
 			Heard: func() {
 				reader.Heard(clk.Now())
@@ -176,8 +176,9 @@
 	return s, nil
 }
 
-// isOverdue tells that discovery has not spoken for too long, since a time.
-func (s *sources) isOverdue(float64) {
+// isOverdue tells that discovery has not spoken for too long, and that what it held until a time counts as notified.
+func (s *sources) isOverdue(until float64) {
+	s.core.Overdue(true, until)
 	select {
 	case s.overdue <- struct{}{}:
 	default:
--- a/cmd/ravenwheel/stepped_test.go
+++ b/cmd/ravenwheel/stepped_test.go
@@ -46,6 +46,17 @@
 	}
 }
 
+var newerField = regexp.MustCompile(`,newer=(\d+)`)
+
+// newerOf is the age in ms of the oldest copy that a request is content with.
+func newerOf(t *testing.T, fields string) int64 {
+	age := newerField.FindStringSubmatch(fields)
+	require.NotNil(t, age, "no purge is heeded: %s", fields)
+	ms, err := strconv.ParseInt(age[1], 10, 64)
+	require.NoError(t, err)
+	return ms
+}
+
 // ask sends the n-th request of a client and returns the word of its answer.
 func ask(t *testing.T, c *scenario.Client, n int) string {
 	require.NoError(t, c.Send([]string{"RPC.CALL", strconv.Itoa(n), "asset",
@@ -62,7 +73,6 @@
 func TestWallClockStepped(t *testing.T) {
 	const after = 1500 * time.Millisecond
 	bin := buildOverlaid(t)
-	newer := regexp.MustCompile(`,newer=(\d+)`)
 	for _, by := range []int{-3600, 3600, -7, 7} {
 		t.Run(fmt.Sprintf("%d s", by), func(t *testing.T) {
 			t.Parallel()
@@ -111,11 +121,7 @@
 			answers.mu.Lock()
 			fields, came := answers.asked[id], answers.came[id]
 			answers.mu.Unlock()
-			age := newer.FindStringSubmatch(fields)
-			require.NotNil(t, age, "the purge is not heeded: %s", fields)
-			ms, err := strconv.ParseInt(age[1], 10, 64)
-			require.NoError(t, err)
-			require.Greater(t, came.UnixMilli()-ms, purged, "a copy from before the purge would do: %s", fields)
+			require.Greater(t, came.UnixMilli()-newerOf(t, fields), purged, "a copy from before the purge would do: %s", fields)
 			require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 			require.NoError(t, cmd.Wait(), logs.String())
 		})
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -445,6 +445,13 @@
 	c.tell(policy.Purged{Object: p.Object, Group: p.Group, Age: clock.Duration(now - min(now+StampUnit, p.At))})
 }
 
+// Overdue takes in that discovery has not spoken for too long, and that what was made until so many ms of the clock counts as told;
+// on false: that all has been told.
+func (c *Core) Overdue(on bool, until float64) {
+	now := c.clock.Now()
+	c.tell(policy.Overdue{On: on, Age: clock.Duration(max(0, now-until))})
+}
+
 // Members takes in what the ledger publishes: first those who carry attempts, so that none is decided on for a server
 // that they don't know.
 func (c *Core) Members(p membership.Publish) {
--- a/internal/decide/discovery/discovery.go
+++ b/internal/decide/discovery/discovery.go
@@ -189,7 +189,7 @@
 	over := f.due - f.set.Margin
 	if !f.overdue && now >= over {
 		f.overdue = true
-		f.do(Overdue{LastWord: f.lastWord})
+		f.do(Overdue{LastWord: f.lastWord, Notified: f.due - f.set.Grace})
 	}
 	wake := f.next
 	if !f.overdue {
--- a/internal/decide/discovery/message.go
+++ b/internal/decide/discovery/message.go
@@ -71,8 +71,9 @@
 // Wake asks for a Tick, in place of the one that was asked for before.
 type Wake struct{ At float64 }
 
-// Overdue tells that the time has passed by which everything had to be heard: something may bind that was not heard.
-type Overdue struct{ LastWord float64 }
+// Overdue tells that the time has passed by which everything had to be heard: what discovery held until Notified may bind without
+// having been heard.
+type Overdue struct{ LastWord, Notified float64 }
 
 // Current tells that everything has been heard again.
 type Current struct{}
--- a/internal/source/board/client.go
+++ b/internal/source/board/client.go
@@ -21,9 +21,9 @@
 	Follow discovery.Settings
 	Notice func(Notice)
 	Heard  func() // a frame came that tells nothing new; may be nil
-	// Overdue tells that what discovery holds may bind without having been heard since so many ms of the clock, and Current that all
+	// Overdue tells that what discovery held until so many ms of the clock may bind without having been heard, and Current that all
 	// was heard again; may be nil.
-	Overdue func(lastWord float64)
+	Overdue func(until float64)
 	Current func()
 	// Dial connects to an address; nil: package net's.
 	Dial  func(ctx context.Context, addr string) (net.Conn, error)
@@ -167,7 +167,7 @@
 		case discovery.Overdue:
 			l.overdue(a.LastWord)
 			if l.Overdue != nil {
-				l.Overdue(a.LastWord)
+				l.Overdue(a.Notified)
 			}
 		case discovery.Current:
 			if l.Current != nil {
--- a/policy/api.go
+++ b/policy/api.go
@@ -179,8 +179,8 @@
 // Load is a load report: named values, late and noisy.
 type Load map[string]float64
 
-// Event is something the router is told: one of Members, Request, First, Outcome, ClientLeft, Timer
-// and Purged.
+// Event is something the router is told: one of Members, Request, First, Outcome, ClientLeft, Timer,
+// Purged and Overdue.
 type Event interface{ event() }
 
 // Members is news from discovery.
@@ -238,6 +238,13 @@
 	Age    time.Duration
 }
 
+// Overdue tells that discovery has not spoken for too long: purges made until Age ago may bind without having
+// been told. With On false all has been told again.
+type Overdue struct {
+	On  bool
+	Age time.Duration
+}
+
 func (Members) event()    {}
 func (Request) event()    {}
 func (First) event()      {}
@@ -245,6 +252,7 @@
 func (ClientLeft) event() {}
 func (Timer) event()      {}
 func (Purged) event()     {}
+func (Overdue) event()    {}
 
 // Action is something the router wants done: one of Ask, Get, Cancel, Refuse, Fail, SetTimer,
 // Watch and Log. Actions are to be carried out in order.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -129,6 +129,8 @@
 		r.timer(e.Token)
 	case Purged:
 		r.purged(e)
+	case Overdue:
+		r.overdueDiscovery(e)
 	}
 	acts, r.out = r.out, nil
 	return acts
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -184,6 +184,36 @@
 	}
 }
 
+// Discovery is overdue: whatever was made until a time may be purged, so copies from before it do for nobody, until all is told
+// or no older copy is left anywhere. What a purge says of an object goes on counting where it is later.
+func TestDiscoveryOverdue(t *testing.T) {
+	s := start(t, settings(), fleet())
+	s.on(Overdue{On: true, Age: 200 * ms})
+	if g := s.get(s.on(req("a", "o"))); g.Age != 200*ms || g.How&(Join|Renew) != 0 {
+		t.Errorf("age %v, how %d", g.Age, g.How)
+	}
+	s.now += 100 * ms
+	s.on(Purged{Object: "o", Group: 1, Age: 50 * ms})
+	if g := s.get(s.on(req("b", "o"))); g.Age != 50*ms {
+		t.Errorf("age %v after a purge that is later", g.Age)
+	}
+	if g := s.get(s.on(req("c", "p"))); g.Age != 300*ms {
+		t.Errorf("age %v", g.Age)
+	}
+	s.on(Overdue{})
+	if g := s.get(s.on(req("d", "p"))); g.Age != 0 {
+		t.Errorf("age %v once all is told", g.Age)
+	}
+	if g := s.get(s.on(req("e", "o"))); g.Age != 50*ms {
+		t.Errorf("age %v of what was purged", g.Age)
+	}
+	s.on(Overdue{On: true})
+	s.now += 2*s.r.set.PurgeTakes + ms
+	if g := s.get(s.on(req("f", "p"))); g.Age != 0 {
+		t.Errorf("age %v when no older copy is left", g.Age)
+	}
+}
+
 // An unsafe request that may have run is neither sent again nor refused.
 func TestUnsafe(t *testing.T) {
 	for _, c := range []struct {
--- a/policy/state.go
+++ b/policy/state.go
@@ -119,6 +119,8 @@
 	memory       *bounded[place, holder]
 	objectPurged *bounded[string, Time]
 	groupPurged  *bounded[int, Time]
+	unheard      bool // discovery is overdue:
+	unheardUntil Time // what was purged until then may bind
 
 	meanSend    []float64 // seconds, by class: the least that answers took on average
 	meanTook    []float64 // seconds, by class: what they took lately
