--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -138,6 +138,7 @@
 		return err
 	}
 	defer src.close()
+	go src.reloads(reload, log) // also while it waits for its address: discovery may move then too
 	ln, err := place.listen(conf, c)
 	if errors.Is(err, handover.ErrEnded) {
 		return nil
@@ -153,7 +154,6 @@
 	place.serve(front, src)
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve() }()
-	go src.reloads(reload, log)
 	select {
 	case err := <-failed:
 		return err
