--- a/internal/decide/discovery/discovery.go
+++ b/internal/decide/discovery/discovery.go
@@ -60,7 +60,7 @@
 	case Word:
 		f.word(now, e.Call)
 	case Ended:
-		f.ended(now, e.Call)
+		f.ended(now, e)
 	}
 	f.advance(now)
 	acts, f.acts = f.acts, nil
@@ -135,16 +135,18 @@
 }
 
 // ended: a call that broke off is made again after a pause, whatever other calls are open.
-func (f *Follower) ended(now float64, id CallID) {
-	c := f.call(id)
+func (f *Follower) ended(now float64, e Ended) {
+	c := f.call(e.Call)
 	if c == nil {
 		return
 	}
 	if now-c.began >= f.set.Interval {
 		f.failed = 0
 	}
-	f.calls = slices.DeleteFunc(f.calls, func(c call) bool { return c.id == id })
-	f.due = min(f.due, now+f.set.NotifiedBroken+f.set.Grace)
+	f.calls = slices.DeleteFunc(f.calls, func(c call) bool { return c.id == e.Call })
+	if e.Up {
+		f.due = min(f.due, now+f.set.NotifiedBroken+f.set.Grace)
+	}
 	if len(f.calls) == 0 {
 		f.next = math.Inf(1) // nothing is open that could still speak: the pause alone counts
 	}
--- a/internal/decide/discovery/message.go
+++ b/internal/decide/discovery/message.go
@@ -39,8 +39,11 @@
 // Word tells that a call has brought a whole frame.
 type Word struct{ Call CallID }
 
-// Ended tells that a call has ended by itself.
-type Ended struct{ Call CallID }
+// Ended tells that a call has ended by itself, and whether its connection was up by then: only such a one was broken off.
+type Ended struct {
+	Call CallID
+	Up   bool
+}
 
 // Tick tells that the time of a Wake has come, or may have.
 type Tick struct{}
--- a/internal/source/board/client.go
+++ b/internal/source/board/client.go
@@ -125,8 +125,9 @@
 	if m.err != nil {
 		delete(l.calls, m.from.id)
 		m.from.cancel()
-		l.ended(m.from, m.from.reason(), m.err)
-		l.handle(discovery.Ended{Call: m.from.id})
+		why := m.from.reason()
+		l.ended(m.from, why, m.err)
+		l.handle(discovery.Ended{Call: m.from.id, Up: why == discovery.ReasonBroken})
 		return
 	}
 	l.spoke(m.from, m.notice, l.last.Load())
@@ -186,7 +187,10 @@
 }
 
 func (l *loop) close(d discovery.Close) {
-	c := l.calls[d.Call]
+	c, open := l.calls[d.Call]
+	if !open {
+		return
+	}
 	delete(l.calls, d.Call)
 	c.cancel()
 	l.ended(c, d.Why, nil)
--- a/internal/state/folder_test.go
+++ b/internal/state/folder_test.go
@@ -18,7 +18,8 @@
 // sick is a file system whose syncs and creates fail for as long as it is said to.
 type sick struct {
 	vfs.FS
-	now atomic.Bool
+	now  atomic.Bool
+	hold atomic.Pointer[chan struct{}] // the next write waits for it, and fails
 }
 
 type sickFile struct {
@@ -35,6 +36,15 @@
 	return sickFile{f, s}, err
 }
 
+// Write implements vfs.File.
+func (f sickFile) Write(b []byte) (int, error) {
+	if hold := f.fs.hold.Swap(nil); hold != nil {
+		<-*hold
+		return 0, syscall.EIO
+	}
+	return f.File.Write(b)
+}
+
 // Sync implements vfs.File.
 func (f sickFile) Sync() error {
 	if f.fs.now.Load() {
@@ -104,3 +114,32 @@
 		}
 	}
 }
+
+// A server is drained by hand, and given back while that is still being written; the first write fails and the second does not.
+// What was told first is not kept behind what was told last.
+func TestOlderEventIsNotKeptLater(t *testing.T) {
+	clk, disk := clock.Manual(1e12), vfs.NewSim(-1)
+	fs := &sick{FS: disk}
+	k, _, err := state.Open(options(fs, clk))
+	require.NoError(t, err)
+	require.NoError(t, k.Drained(8, true)) // what the start writes is written
+	hold := make(chan struct{})
+	fs.hold.Store(&hold)
+	first, second := make(chan error, 1), make(chan error, 1)
+	go func() { first <- k.Drained(9, true) }()
+	require.Eventually(t, func() bool { return fs.hold.Load() == nil }, time.Minute, time.Millisecond)
+	go func() { second <- k.Drained(9, false) }()
+	time.Sleep(20 * time.Millisecond) // it waits behind the first
+	close(hold)
+	require.Error(t, <-first)
+	require.NoError(t, <-second)
+	for range 50 {
+		clk.Advance(100)
+		time.Sleep(time.Millisecond)
+	}
+	require.NoError(t, k.Close())
+	disk.Restart(rand.New(rand.NewPCG(1, 1)))
+	_, plan, err := state.Open(options(disk, clk))
+	require.NoError(t, err)
+	require.Equal(t, []uint64{8}, plan.Hand)
+}
