A process that may take over from another has 2 s to hear; sources and serve in shorter functions

Read on the way: what discovery holds binds 2 s after a new process's yes, and the time by which all has to be heard was that of a move. NotifiedStarted is 2 s where a console is named.

--- /dev/null
+++ b/cmd/ravenwheel/discovery.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/decide/discovery"
+	"ravenwheel/internal/decide/membership"
+	"ravenwheel/internal/decide/stamps"
+	"ravenwheel/internal/source/board"
+)
+
+// discovery takes in what was known of discovery at the start, and returns the client that follows it. rank is its rank among the
+// ledger's sources.
+func (s *sources) discovery(rank int) *board.Client {
+	reader := stamps.New(s.clk.Now())
+	known := board.DatedKnown(s.conf.Known, reader, s.clk.Now(), clock.Ms(s.conf.Settings.PurgeTakes))
+	for _, n := range known {
+		n.Tell(rank, s.roster.Tell, s.purged)
+	}
+	follow := discovery.Usual(s.conf.Seed, clock.Ms(s.conf.Settings.PurgeNotice))
+	if s.conf.Console != "" { // it may take over from another process
+		follow.NotifiedStarted = discovery.NotifiedReplaced
+	}
+	return &board.Client{
+		Addr: s.conf.Board, Last: s.conf.Rev, Clock: s.clk, Log: s.log, Follow: follow,
+		Notice: func(n board.Notice) { n.Dated(reader, s.clk.Now()).Tell(rank, s.roster.Tell, s.purged) },
+		Heard: func() {
+			reader.Heard(s.clk.Now())
+			s.roster.Tell(membership.Heard{Source: rank})
+		},
+		Overdue: s.isOverdue,
+		Current: func() { s.core.Overdue(false, 0) },
+	}
+}
+
+// isOverdue tells that discovery has not spoken for too long, and that what it held until a time counts as notified.
+func (s *sources) isOverdue(until float64) {
+	s.core.Overdue(true, until)
+	select {
+	case s.overdue <- struct{}{}:
+	default:
+	}
+}
--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -86,28 +86,13 @@
 	reload := make(chan os.Signal, mostSignals)
 	signal.Notify(reload, syscall.SIGHUP)
 	limit(conf)
-	if profile != "" {
-		f, err := os.Create(profile)
-		if err != nil {
-			return err
-		}
-		if err := pprof.StartCPUProfile(f); err != nil {
-			return err
-		}
-		time.AfterFunc(profileFor, func() {
-			pprof.StopCPUProfile()
-			f.Close()
-		})
+	if err := startProfile(); err != nil {
+		return err
 	}
-	up := upstream.New(clk, upstream.Limits{
-		PerConn: conf.StreamsPerConn, Conns: min(mostConns, max(leastConns, conf.Sockets/connShare)), Connect: conf.Connect, Idle: conf.ConnIdle, Total: forServers(conf.Sockets),
-		Life: clock.Ms(longest(conf)),
-	})
-	c, err := core.New(conf.Settings, conf.Classes, conf.MostHeld, conf.Seed, clk, up)
+	up, c, err := newCore(conf, clk, log)
 	if err != nil {
 		return err
 	}
-	c.Log = func(text string) { log.Info("module").Msg(text) }
 	talk, err := startPeers(operator, conf, clk, log, c)
 	if err != nil {
 		return err
@@ -163,6 +148,39 @@
 	return nil
 }
 
+// startProfile writes a CPU profile of the start, if one is asked for.
+func startProfile() error {
+	if profile == "" {
+		return nil
+	}
+	f, err := os.Create(profile)
+	if err != nil {
+		return err
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return err
+	}
+	time.AfterFunc(profileFor, func() {
+		pprof.StopCPUProfile()
+		f.Close()
+	})
+	return nil
+}
+
+// newCore returns the core, and the connections to the servers that it sends to.
+func newCore(conf *config.Config, clk *clock.Clock, log *logs.Log) (*upstream.Pools, *core.Core, error) {
+	up := upstream.New(clk, upstream.Limits{
+		PerConn: conf.StreamsPerConn, Conns: min(mostConns, max(leastConns, conf.Sockets/connShare)), Connect: conf.Connect, Idle: conf.ConnIdle, Total: forServers(conf.Sockets),
+		Life: clock.Ms(longest(conf)),
+	})
+	c, err := core.New(conf.Settings, conf.Classes, conf.MostHeld, conf.Seed, clk, up)
+	if err != nil {
+		return nil, nil, err
+	}
+	c.Log = func(text string) { log.Info("module").Msg(text) }
+	return up, c, nil
+}
+
 // drain lets what is still on its way in come, then answers what is open and ends the connections. told has the front do so;
 // where another process has the clients by then, nothing is on its way here but what clients ask on connections that they
 // hold. It waits for connections, and not for answers alone: a request that came between the last answer and the exit of the
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -9,11 +9,9 @@
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
-	"ravenwheel/internal/decide/discovery"
 	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/decide/recovery"
 	"ravenwheel/internal/decide/serverlist"
-	"ravenwheel/internal/decide/stamps"
 	"ravenwheel/internal/logs"
 	"ravenwheel/internal/peers"
 	"ravenwheel/internal/roster"
@@ -47,6 +45,7 @@
 	core   *core.Core
 	conf   *config.Config // of the start
 	clk    *clock.Clock
+	log    *logs.Log
 	names  *names.Cache
 	facts  serverlist.Facts
 	member bool // of the store: what operators do goes to all of its members
@@ -55,120 +54,77 @@
 	only    bool // it hears what the store holds and is no member: what operators do there is done at one
 }
 
-// startSources takes in what is known at the start, and follows what comes later: shared brings the facts of the store,
-// from before it opened. talk is this process among its peers (nil: alone), at what the process before it has passed on,
-// and what operators empty (nil: neither).
-func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, shared shared,
-	talk *peers.Peers, at *place) (*sources, error) {
-	s := &sources{store: shared.store, member: shared.member(o), only: shared.only(o), core: c, conf: conf, clk: clk, overdue: make(chan struct{}, 1), names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}}
-	s.facts = conf.Facts(0)
-	set := membership.Settings{}
-	fileAt, storeAt, boardAt := -1, -1, -1
+// ranks are the places of the sources in the ledger's settings, those that come first where several list a server; -1: there is none.
+type ranks struct{ file, store, board int }
+
+// ledgerSettings are those of the one ledger, by who tells of servers here.
+func (s *sources) ledgerSettings(o *config.Operator) (set membership.Settings, at ranks) {
+	at = ranks{-1, -1, -1}
 	if l := o.Servers; l != nil {
-		fileAt = len(set.Sources)
+		at.file = len(set.Sources)
 		set.Sources = append(set.Sources, membership.Source{Name: filepath.Base(l.Path)})
 		set.DropDrain, set.GoneFor, set.WeightStep, set.WeightEvery = l.Drain, l.Remember, l.WeightStep, l.WeightEvery
 	}
 	if s.member || s.only {
-		storeAt = len(set.Sources)
+		at.store = len(set.Sources)
 		set.Sources = append(set.Sources, membership.Source{Name: "store"})
 		if o.Servers == nil {
 			set.DropDrain, set.GoneFor = storeDrain, storeDrain
 		}
 	}
-	if conf.Board != "" {
-		boardAt = len(set.Sources)
+	if s.conf.Board != "" {
+		at.board = len(set.Sources)
 		b := membership.Source{Name: "board", Direct: true}
 		if o.Path != "" {
 			b.SilentAfter = silentAfter
 		}
 		set.Sources = append(set.Sources, b)
 	}
+	return set, at
+}
+
+// startSources takes in what is known at the start, and follows what comes later: shared brings the facts of the store,
+// from before it opened. talk is this process among its peers (nil: alone), at what the process before it has passed on,
+// and what operators empty (nil: neither).
+func startSources(o *config.Operator, conf *config.Config, clk *clock.Clock, log *logs.Log, c *core.Core, shared shared,
+	talk *peers.Peers, at *place) (*sources, error) {
+	s := &sources{
+		store: shared.store, member: shared.member(o), only: shared.only(o), core: c, conf: conf, clk: clk, log: log,
+		overdue: make(chan struct{}, 1), names: &names.Cache{Resolver: resolver(), Clock: clk, TTL: 30_000, Timeout: 2000}, facts: conf.Facts(0),
+	}
+	set, rank := s.ledgerSettings(o)
 	plan, err := s.startState(o, conf, set, clk, log)
 	if err != nil {
 		return nil, err
 	}
-	ledger := roster.Options{Ledger: set, Clock: clk, Log: log, Publish: c.Members}
-	purged := c.Purged
-	if s.state != nil {
-		ledger.Publish = func(p membership.Publish) { c.Members(p); s.state.Published(p) }
-		ledger.Moved = s.state.Moved
-		purged = func(p core.Purge) {
-			c.Purged(p)
-			s.state.Purging(recovery.Purge{Object: p.Object, Group: p.Group, Made: p.At, Told: clk.Now()})
-		}
-	}
-	if s.roster, err = roster.New(ledger); err != nil {
+	if s.roster, err = roster.New(s.ledger(set)); err != nil {
 		s.close()
 		return nil, err
 	}
-	// What was told before the restart binds before anything new is heard and before the first request.
-	for _, p := range plan.Purges {
-		group := p.Group
-		if p.Object != "" {
-			group = -1
-		}
-		c.Purged(core.Purge{Object: p.Object, Group: group, At: p.Made})
-	}
-	var kept *serverlist.Set
-	if plan.Boots > 0 { // else nothing is known, and that is not to say that every server is new
-		floors := map[int]uint64{}
-		if l, ok := plan.List(listSource); ok {
-			floors[fileAt], kept = l.Generation, serverlist.Again(l.Generation, l.Servers)
-		}
-		s.roster.Restore(plan.Remembered, floors)
-	}
-	for _, id := range plan.Hand {
-		s.roster.Tell(membership.Drain{ID: policy.CacheID(id), On: true})
-	}
+	kept := s.restore(plan, rank.file)
 	if at != nil && at.hand != nil {
 		at.hand.Follow(
 			func(id policy.CacheID, out bool) { _ = s.drained(id, out) }, // kept by the hand-over, as well as by the keeper
 			func(id policy.CacheID, at float64) { s.roster.Tell(membership.Back{ID: id, At: at}) })
 	}
-	if boardAt >= 0 {
-		reader := stamps.New(clk.Now())
-		for _, n := range board.DatedKnown(conf.Known, reader, clk.Now(), clock.Ms(conf.Settings.PurgeTakes)) {
-			n.Tell(boardAt, s.roster.Tell, purged)
-		}
-		s.board = &board.Client{
-			Addr: conf.Board, Last: conf.Rev, Follow: discovery.Usual(conf.Seed, clock.Ms(conf.Settings.PurgeNotice)), Clock: clk, Log: log, Overdue: s.isOverdue, Current: func() { c.Overdue(false, 0) },
-			Notice: func(n board.Notice) { n.Dated(reader, clk.Now()).Tell(boardAt, s.roster.Tell, purged) },
-			Heard: func() {
-				reader.Heard(clk.Now())
-				s.roster.Tell(membership.Heard{Source: boardAt})
-			},
-		}
+	if rank.board >= 0 {
+		s.board = s.discovery(rank.board)
 	}
 	if l := o.Servers; l != nil {
-		if err := s.startList(l, fileAt, conf, kept, clk, log); err != nil {
+		if err := s.startList(l, rank.file, conf, kept, clk, log); err != nil {
 			s.close()
 			return nil, err
 		}
 	}
 	if o.Admin != nil {
-		a := admin.Options{Listen: o.Admin.Listen, Clock: clk, Log: log, Names: conf.Names, Core: c, Views: s.roster.Views, State: s.state, Store: shared.store, Shared: s, Peers: talk}
-		if shared.node != nil {
-			a.Distribution = shared.node.Status
-		}
-		if at != nil {
-			a.Desk = at.desk
-		}
-		if s.list != nil {
-			a.List = s.list.Status
-		}
-		if s.board != nil {
-			a.Discovery = s.board.Status
-		}
-		if s.admin, err = admin.Listen(a); err != nil {
+		if err := s.startAdmin(o.Admin.Listen, shared, talk, at); err != nil {
 			s.close()
 			return nil, err
 		}
-		go s.admin.Serve()
 	}
-	if storeAt >= 0 {
+	if rank.store >= 0 {
 		// After what was kept before the restart: a drain that the store ended meanwhile is ended here too.
-		go s.hears(storeAt, conf, log).Run(shared.heard)
+		go s.hears(rank.store, conf, log).Run(shared.heard)
 	}
 	if s.board != nil {
 		go s.board.Run(context.Background()) // also while stopping: the rules go on
@@ -176,13 +132,70 @@
 	return s, nil
 }
 
-// isOverdue tells that discovery has not spoken for too long, and that what it held until a time counts as notified.
-func (s *sources) isOverdue(until float64) {
-	s.core.Overdue(true, until)
-	select {
-	case s.overdue <- struct{}{}:
-	default:
+// ledger is how the registry publishes: to the core, and to what is kept.
+func (s *sources) ledger(set membership.Settings) roster.Options {
+	o := roster.Options{Ledger: set, Clock: s.clk, Log: s.log, Publish: s.core.Members}
+	if s.state != nil {
+		o.Publish = func(p membership.Publish) { s.core.Members(p); s.state.Published(p) }
+		o.Moved = s.state.Moved
+	}
+	return o
+}
+
+// purged has a purge that a source told come into force, and kept.
+func (s *sources) purged(p core.Purge) {
+	s.core.Purged(p)
+	if s.state != nil {
+		s.state.Purging(recovery.Purge{Object: p.Object, Group: p.Group, Made: p.At, Told: s.clk.Now()})
+	}
+}
+
+// restore has what was told before the restart bind, before anything new is heard and before the first request, and returns the
+// watched list that was kept (nil: none). file is the list's rank.
+func (s *sources) restore(plan recovery.Plan, file int) (kept *serverlist.Set) {
+	for _, p := range plan.Purges {
+		group := p.Group
+		if p.Object != "" {
+			group = -1
+		}
+		s.core.Purged(core.Purge{Object: p.Object, Group: group, At: p.Made})
+	}
+	if plan.Boots > 0 { // else nothing is known, and that is not to say that every server is new
+		floors := map[int]uint64{}
+		if l, ok := plan.List(listSource); ok {
+			floors[file], kept = l.Generation, serverlist.Again(l.Generation, l.Servers)
+		}
+		s.roster.Restore(plan.Remembered, floors)
+	}
+	for _, id := range plan.Hand {
+		s.roster.Tell(membership.Drain{ID: policy.CacheID(id), On: true})
+	}
+	return kept
+}
+
+// startAdmin opens the operators' address.
+func (s *sources) startAdmin(listen string, shared shared, talk *peers.Peers, at *place) (err error) {
+	a := admin.Options{
+		Listen: listen, Clock: s.clk, Log: s.log, Names: s.conf.Names, Core: s.core, Views: s.roster.Views, State: s.state,
+		Store: shared.store, Shared: s, Peers: talk,
 	}
+	if shared.node != nil {
+		a.Distribution = shared.node.Status
+	}
+	if at != nil {
+		a.Desk = at.desk
+	}
+	if s.list != nil {
+		a.List = s.list.Status
+	}
+	if s.board != nil {
+		a.Discovery = s.board.Status
+	}
+	if s.admin, err = admin.Listen(a); err != nil {
+		return err
+	}
+	go s.admin.Serve()
+	return nil
 }
 
 // listSource is the name under which the watched list is kept: there is one, whatever its file is called.
--- a/internal/decide/discovery/discovery.go
+++ b/internal/decide/discovery/discovery.go
@@ -50,7 +50,7 @@
 	switch e := e.(type) {
 	case Start:
 		f.lastWord = now
-		f.settleOn(now, e.Addr, ReasonStart)
+		f.settleOn(now, e.Addr, ReasonStart, f.set.NotifiedStarted)
 	case Move:
 		f.move(now, e.Addr)
 	case Progress:
@@ -80,20 +80,20 @@
 
 // settleOn begins afresh at an address. What a call was left for by a move says nothing of the next address: counted as silence
 // and as a failure, it doubled the wait there and lengthened the pauses, and purges were heard too late.
-func (f *Follower) settleOn(now float64, addr string, why Reason) {
+func (f *Follower) settleOn(now float64, addr string, why Reason, notified float64) {
 	for _, c := range f.calls {
 		f.do(Close{Call: c.id, Why: ReasonMoved})
 	}
 	f.addr, f.calls, f.waited, f.failed = addr, nil, 0, 0
 	f.next, f.why = now, why
-	f.due = now + f.set.NotifiedMoved + f.set.Grace
+	f.due = now + notified + f.set.Grace
 }
 
 // move follows a configuration that was read anew. One that names the address of now says that something has changed there: what
 // is open goes on, and has to speak soon.
 func (f *Follower) move(now float64, addr string) {
 	if addr != f.addr {
-		f.settleOn(now, addr, ReasonMoved)
+		f.settleOn(now, addr, ReasonMoved, f.set.NotifiedMoved)
 		return
 	}
 	f.waited, f.failed = 0, 0
--- a/internal/decide/discovery/discovery_test.go
+++ b/internal/decide/discovery/discovery_test.go
@@ -131,6 +131,30 @@
 	}
 }
 
+// A process starts in place of another one: what discovery holds counts as notified 2 s after it says that it is ready, which it
+// may do at once. The first two callers are treated badly in every way.
+func TestStartInPlaceOfAnother(t *testing.T) {
+	for seed := range uint64(20) {
+		set := Usual(seed, purgeGrace)
+		set.NotifiedStarted = NotifiedReplaced
+		for _, first := range []treatment{mute, refused, brokenOff, unanswered, late, trickles} {
+			for _, second := range []treatment{mute, refused, brokenOff, unanswered, late, trickles} {
+				w := newWorld(set)
+				w.held = true
+				w.callers = []treatment{first, second}
+				w.tell(Start{Addr: "address"})
+				w.run(10_000)
+				require.LessOrEqual(t, w.heard, NotifiedReplaced+purgeGrace+0.0, "callers %s and %s", first.name, second.name)
+			}
+		}
+		w := newWorld(set)
+		w.callers = always(mute)
+		w.tell(Start{Addr: "address"})
+		w.run(10_000)
+		require.InDelta(t, NotifiedReplaced+purgeGrace-set.Margin, w.overdue, 0.001)
+	}
+}
+
 // A board stays mute, refuses or breaks off: the time by which all had to be heard is said once, and that it is over once it speaks.
 func TestOverdue(t *testing.T) {
 	for seed := range uint64(20) {
--- a/internal/decide/discovery/settings.go
+++ b/internal/decide/discovery/settings.go
@@ -21,18 +21,21 @@
 	// Calls are open at once at most, two at least.
 	Calls int
 
-	// NotifiedMoved, NotifiedBroken and NotifiedStopped: so long after a move, a broken call and the last word before a silence,
-	// what discovery holds counts as notified. Grace is the time to heed it, the shortest there is.
-	NotifiedMoved, NotifiedBroken, NotifiedStopped, Grace float64
+	// NotifiedStarted, NotifiedMoved, NotifiedBroken and NotifiedStopped: so long after the start, a move, a broken call and the last
+	// word before a silence, what discovery holds counts as notified. Grace is the time to heed it, the shortest there is.
+	NotifiedStarted, NotifiedMoved, NotifiedBroken, NotifiedStopped, Grace float64
 	// Margin is how long before that time it is said to be over: what is sent then arrives later.
 	Margin float64
 }
 
+// NotifiedReplaced is NotifiedStarted of a process that takes over from another one: so long after it says that it is ready.
+const NotifiedReplaced = 2000
+
 // Usual are the settings of a deployment that gives so many ms to heed what was notified.
 func Usual(seed uint64, grace float64) Settings {
 	return Settings{
 		Seed: seed, FirstWord: 850, WaitGrowth: 1.25, MostWait: 2500, Silence: 2000, SilenceSpread: 600, Interval: 1000,
 		Redial: 100, SoonRedial: 400, SoonRedials: 8, MostRedial: 1600, Calls: 3,
-		NotifiedMoved: 4000, NotifiedBroken: 2000, NotifiedStopped: 4000, Grace: grace, Margin: 100,
+		NotifiedStarted: 4000, NotifiedMoved: 4000, NotifiedBroken: 2000, NotifiedStopped: 4000, Grace: grace, Margin: 100,
 	}
 }
