--- a/internal/distribution/tree_test.go
+++ b/internal/distribution/tree_test.go
@@ -224,7 +224,9 @@
 		ln, err := net.Listen("tcp", tr.addrs[p.Name])
 		require.NoError(tr.t, err)
 		tr.addrs[p.Name] = ln.Addr().String()
+		tr.mu.Lock() // nodes that run already dial
 		tr.names[ln.Addr().String()] = p.Name
+		tr.mu.Unlock()
 		o.Listen = ln
 	}
 	x.node, err = distribution.Start(o)
