--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -111,11 +111,8 @@
 	ctx, stop := context.WithCancel(signalled)
 	defer stop()
 	place, err := takePlace(ctx.Done(), conf, clk, log, stop)
-	if errors.Is(err, handover.ErrEnded) {
-		return nil
-	}
 	if err != nil {
-		return err
+		return unlessEnded(err)
 	}
 	defer place.close()
 	src, err := startSources(operator, conf, clk, log, c, shared, talk, place)
@@ -125,11 +122,8 @@
 	defer src.close()
 	go src.reloads(reload, log) // also while it waits for its address: discovery may move then too
 	ln, err := place.listen(conf, c)
-	if errors.Is(err, handover.ErrEnded) {
-		return nil
-	}
 	if err != nil {
-		return err
+		return unlessEnded(err)
 	}
 	stopOperator, err := startOperator(operator, conf, clk, log, c, up, shared, src)
 	if err != nil {
@@ -148,6 +142,14 @@
 	return nil
 }
 
+// unlessEnded is an error of a process that waits for its address, which is none where it was told to end meanwhile.
+func unlessEnded(err error) error {
+	if errors.Is(err, handover.ErrEnded) {
+		return nil
+	}
+	return err
+}
+
 // startProfile writes a CPU profile of the start, if one is asked for.
 func startProfile() error {
 	if profile == "" {
