--- a/cmd/ravenwheel/discovery_test.go
+++ b/cmd/ravenwheel/discovery_test.go
@@ -57,6 +57,7 @@
 	doors   []*fleet.Door
 	answers *replies
 	config  string
+	listen  string
 	cmd     *exec.Cmd
 	logs    syncedBuffer
 	client  *scenario.Client
@@ -74,6 +75,7 @@
 	}
 	cache, listen := scenario.Listen(t), freeAddr(t)
 	go f.answers.serve(t, cache)
+	f.listen = listen
 	f.config = configFile(t, listen, f.doors[0].Addr(), cache.Addr())
 	f.edit(func(c map[string]any) { c["seed"] = fmt.Sprintf("%016x", seed) })
 	f.cmd = exec.Command(bin, args...)
