What discovery has written is heeded before a request is sent on, also by a process woken

Cause: a process that was stopped reads its sockets in any order as it is woken, and requests were decided on before purges that had come meanwhile.

make race beside these edits: red in TestDistributorKilled alone, traced by its log: 'bind: address already in use' as leaf2 started. freeAddr could be given the same port by the kernel twice; it gives each address once now.

--- a/cmd/ravenwheel/serve_test.go
+++ b/cmd/ravenwheel/serve_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -30,12 +31,22 @@
 	return bin
 }
 
+// given are the addresses that freeAddr has given out.
+var given sync.Map
+
+// freeAddr is an address at which nothing listens, of this run's own and given out once. Guards against another run that takes the
+// port between its close and its use, and against the kernel, which may give the same one again meanwhile: two processes of one
+// test once had one address.
 func freeAddr(t *testing.T) string {
-	// An address of this run's own: between its close and its use, another run of these tests once took the port.
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.72.%d.%d:0", os.Getpid()>>8&255, os.Getpid()&255))
-	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.72.%d.%d:0", os.Getpid()>>8&255, os.Getpid()&255))
+		require.NoError(t, err)
+		addr := ln.Addr().String()
+		require.NoError(t, ln.Close())
+		if _, known := given.LoadOrStore(addr, true); !known {
+			return addr
+		}
+	}
 }
 
 func configFile(t *testing.T, listen, board, cache string) string {
--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -109,6 +109,7 @@
 	}
 	if rank.board >= 0 {
 		s.board = s.discovery(rank.board)
+		c.CatchUp = s.board.CatchUp
 	}
 	if l := o.Servers; l != nil {
 		if err := s.startList(l, rank.file, conf, kept, clk, log); err != nil {
--- /dev/null
+++ b/internal/core/catchup_test.go
@@ -0,0 +1,46 @@
+package core_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ravenwheel/internal/clock"
+	"ravenwheel/internal/core"
+	"ravenwheel/internal/scenario"
+	"ravenwheel/policy"
+)
+
+// Discovery told of a purge that is in force only after an attempt was decided on: that attempt is not made, and the next one is
+// decided from what is known then, whichever attempt of the request it is.
+func TestDecidedAnewAfterCatchingUp(t *testing.T) {
+	for stale := 2; stale <= 3; stale++ { // the first call is before the request is decided on
+		synctest.Test(t, func(t *testing.T) {
+			set := scenario.Settings()
+			set.PurgeTakes = 6 * time.Second
+			clk := clock.Manual(1e12)
+			reset := core.End{Result: policy.Reset, Sent: true} // so that there is a second attempt
+			d := &deaf{clock: clk, after: 100, ends: []core.End{reset, {Result: policy.OK, Sent: true}}}
+			c, err := core.New(set, []string{"tiles", "pages", "reports"}, 0, 7, clk, d)
+			require.NoError(t, err)
+			c.Members(coreMembers())
+			calls, purgedAt := 0, -1
+			c.CatchUp = func() bool {
+				if calls++; calls != stale {
+					return false
+				}
+				purgedAt = len(d.sent)
+				c.Purged(core.Purge{Object: "o", Group: -1, At: clk.Now() - 50})
+				return true
+			}
+			ask(t, c, clk, core.Request{ID: "a", Class: 1, Object: "o", Deadline: clk.Now() + 2000})
+			require.GreaterOrEqual(t, purgedAt, 0)
+			for n, a := range d.sent {
+				require.Equal(t, n >= purgedAt, a.Age > 0, "attempt %d, the purge came before attempt %d", n, purgedAt)
+			}
+			require.Greater(t, len(d.sent), purgedAt)
+		})
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -129,6 +129,9 @@
 	Counters Counters
 	Log      func(text string) // takes the module's lines, if set before the first event
 	Tally    *Tally            // counts for the view in common, if set before the first event; nil: off
+	// CatchUp waits for what discovery has told and is not in force, and tells whether there was something; set before the first
+	// request, or nil.
+	CatchUp func() (behind bool)
 
 	mu     sync.Mutex
 	router *policy.Router
@@ -234,6 +237,7 @@
 	if c.Tally != nil {
 		c.Tally.asked(q.Object)
 	}
+	c.catchUp()
 	c.tell(policy.Request{
 		ID: q.ID, Left: clock.Duration(q.Deadline - c.clock.Now()), Class: q.Class, Object: q.Object, Part: q.Part,
 		Group: q.Group, SizeKB: q.SizeKB, Repeat: q.Repeat, Write: c.set.Classes[q.Class].Uncached,
@@ -250,6 +254,10 @@
 			c.tell(policy.ClientLeft{ID: q.ID})
 			return c.final(l, Answer{Verdict: Gone})
 		}
+		if begins(e) && c.catchUp() {
+			c.unsent(l, target(e)) // the module decides anew, from what has been told meanwhile
+			continue
+		}
 		switch x := e.(type) {
 		case policy.Ask:
 			c.send(l, policy.Get{ID: x.ID, Cache: x.Cache, Source: x.Cache, Timeout: x.Timeout})
@@ -281,6 +289,20 @@
 	}
 }
 
+// catchUp has what discovery told come into force, and tells whether there was something.
+func (c *Core) catchUp() (behind bool) { return c.CatchUp != nil && c.CatchUp() }
+
+// target is the server that an action which begins an attempt is for.
+func target(e any) policy.CacheID {
+	switch x := e.(type) {
+	case policy.Ask:
+		return x.Cache
+	case policy.Get:
+		return x.Cache
+	}
+	return 0
+}
+
 // begins tells whether an action of the module's begins an attempt.
 func begins(e any) bool {
 	switch e.(type) {
@@ -324,12 +346,10 @@
 // sent: the module would have it out, and the place it takes, until a minute after the deadline.
 func (c *Core) close(l *life) {
 	for e := l.next(); e != nil; e = l.next() {
-		switch x := e.(type) {
-		case policy.Ask:
-			c.unsent(l, x.Cache)
-		case policy.Get:
-			c.unsent(l, x.Cache)
-		case ended:
+		if begins(e) {
+			c.unsent(l, target(e))
+		}
+		if x, is := e.(ended); is {
 			if a := l.at(x.no); a != nil && a.open {
 				c.outcome(l, x)
 			}
--- a/internal/source/board/board_test.go
+++ b/internal/source/board/board_test.go
@@ -145,6 +145,31 @@
 	}
 }
 
+// What discovery has written is waited for by whoever decides, once the last frame is as old as the grace: until it is in force, and
+// not for as long as the board likes.
+func TestCatchUp(t *testing.T) {
+	f := follow(t)
+	nc := f.accept(4)
+	f.write(nc, frame(5, kindGroup, group(17, 1000)...))
+	require.EqualValues(t, 5, (<-f.got).Rev)
+	f.pass(func(s Status) bool { return s.SilentMs >= 1100 })
+	require.False(t, f.client.CatchUp(), "nothing was written")
+	for rev := uint64(6); rev <= 20; rev++ { // more than are taken
+		f.write(nc, frame(rev, kindGroup, group(17, 1000)...))
+	}
+	f.pass(func(s Status) bool { return s.LastEvent > 6 && s.SilentMs >= 1100 })
+	require.True(t, f.client.CatchUp(), "what is written is not in force")
+	taken := make(chan bool)
+	go func() {
+		for rev := uint64(6); rev <= 20; rev++ {
+			<-f.got
+		}
+		close(taken)
+	}()
+	require.Eventually(t, func() bool { return !f.client.CatchUp() }, time.Minute, time.Millisecond)
+	<-taken
+}
+
 // What discovery holds may bind and has not been heard: that is said once, and that it is over.
 func TestOverdueIsTold(t *testing.T) {
 	f := follow(t)
--- a/internal/source/board/client.go
+++ b/internal/source/board/client.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -31,7 +33,9 @@
 	Log   *logs.Log // nil: off
 
 	counters counters
-	last     atomic.Uint64 // number of the last event heard
+	last     atomic.Uint64           // number of the last event heard
+	current  atomic.Int64            // ms of the clock, when the last whole frame was in force
+	open     atomic.Pointer[[]*call] // the calls of now, for CatchUp
 
 	mu    sync.Mutex
 	moves []string      // addresses that were named, in order, and not yet heeded
@@ -96,6 +100,7 @@
 	defer func() { l.unset() }()
 	moved := c.signal()
 	c.counters.lastWord.Store(int64(c.Clock.Now()))
+	c.current.Store(int64(c.Clock.Now()))
 	c.counters.follows(c.Addr)
 	l.handle(discovery.Start{Addr: c.Addr})
 	for {
@@ -119,17 +124,20 @@
 
 // hear takes what a call tells. One that was closed meanwhile counts for nothing.
 func (l *loop) hear(m message) {
+	defer m.from.inForce()
 	if l.calls[m.from.id] != m.from {
 		return
 	}
 	if m.err != nil {
 		delete(l.calls, m.from.id)
+		l.publish()
 		m.from.cancel()
 		why := m.from.reason()
 		l.ended(m.from, why, m.err)
 		l.handle(discovery.Ended{Call: m.from.id, Up: why == discovery.ReasonBroken})
 		return
 	}
+	defer func() { l.current.Store(int64(l.Clock.Now())) }()
 	l.spoke(m.from, m.notice, l.last.Load())
 	l.handle(discovery.Word{Call: m.from.id})
 	if m.kind == kindNothing && l.Heard != nil {
@@ -182,6 +190,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	c := &call{id: d.Call, addr: d.Addr, began: l.Clock.Now(), clock: l.Clock, cancel: cancel}
 	l.calls[d.Call] = c
+	l.publish()
 	l.called(c, d.Why)
 	go c.run(ctx, l)
 }
@@ -192,10 +201,17 @@
 		return
 	}
 	delete(l.calls, d.Call)
+	l.publish()
 	c.cancel()
 	l.ended(c, d.Why, nil)
 }
 
+// publish has CatchUp see the calls of now.
+func (l *loop) publish() {
+	open := slices.Collect(maps.Values(l.calls))
+	l.open.Store(&open)
+}
+
 // wake sets the one timer. It tells the loop, and decides nothing: with a settable clock it runs wherever that is moved.
 func (l *loop) wake(at float64) {
 	l.unset()
@@ -217,8 +233,9 @@
 	frames int // whole ones, of the loop alone
 
 	mu    sync.Mutex
-	up    bool
+	nc    net.Conn           // nil: not up
 	frame discovery.Progress // under way
+	whole bool               // a frame has been read whole and is not in force yet
 }
 
 // run dials, asks for what comes after the last event heard, and tells each frame.
@@ -241,7 +258,7 @@
 	}
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
-	c.isUp()
+	c.isUp(nc)
 	var last [8]byte
 	binary.BigEndian.PutUint64(last[:], l.last.Load())
 	if _, err := nc.Write(last[:]); err != nil {
@@ -255,7 +272,7 @@
 			tell(message{err: err})
 			return
 		}
-		c.whole()
+		c.isWhole()
 		tell(message{notice: n, kind: kind})
 	}
 }
@@ -278,10 +295,10 @@
 	return n, err
 }
 
-func (c *call) isUp() {
+func (c *call) isUp(nc net.Conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.up = true
+	c.nc = nc
 }
 
 func (c *call) read(n int) {
@@ -300,10 +317,17 @@
 	c.frame.Want = size
 }
 
-func (c *call) whole() {
+func (c *call) isWhole() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frame, c.whole = discovery.Progress{}, true
+}
+
+// inForce notes that what was read whole is in force.
+func (c *call) inForce() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.frame = discovery.Progress{}
+	c.whole = false
 }
 
 func (c *call) progress() discovery.Progress {
@@ -316,7 +340,7 @@
 func (c *call) reason() discovery.Reason {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.up {
+	if c.nc == nil {
 		return discovery.ReasonFailed
 	}
 	return discovery.ReasonBroken
