--- a/policy/purge.go
+++ b/policy/purge.go
@@ -15,8 +15,8 @@
 	r.groupPurged.put(e.Group, max(at, old))
 }
 
-// overdueDiscovery has every copy from before a time count as purged for as long as nobody can tell which were.
-// Where all that was made by then counts as told, serving one of them breaks the rule, and asking anew costs time.
+// overdueDiscovery has every copy from before a time count as purged for as long as nobody can tell which
+// were. Where all that was made by then counts as told, serving one of them breaks the rule.
 func (r *Router) overdueDiscovery(e Overdue) {
 	r.unheard, r.unheardUntil = e.On, r.now-e.Age
 }
