--- /dev/null
+++ b/review/casetool/servers.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// The stand-ins for cache servers and the origin. A cache keeps what it fills, heeds "newer", and drops the copies from before a
+// purge purgeTakes after it, as the pages allow. A miss with a source is filled from the origin. A write runs at the origin.
+
+const (
+	serviceDelay = 5 * time.Millisecond
+	purgeTakes   = 5500 * time.Millisecond // the pages: older copies are dropped within 6 s
+	writeClass   = "seat-claim"
+	objectGroup  = 17 // of all objects of the cases
+)
+
+// fetchSeen is a request as a server received it.
+type fetchSeen struct {
+	at     float64 // Unix ms
+	server string
+	id     string
+	class  string
+	object string
+	source string
+	newer  float64
+	status string
+	stamp  float64
+	body   string
+}
+
+type copyKey struct{ server, object, part string }
+
+type fleet struct {
+	rec *record
+
+	mu      sync.Mutex
+	copies  map[copyKey]float64 // stamps
+	seen    []fetchSeen
+	writes  []fetchSeen // that ran
+	addrs   map[string]string
+	origin  string
+	closers []net.Listener
+}
+
+func newFleet(rec *record) *fleet {
+	return &fleet{rec: rec, copies: map[copyKey]float64{}, addrs: map[string]string{}}
+}
+
+// start starts a server at a free loopback port.
+func (f *fleet) start(id string, isOrigin bool) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.addrs[id] = ln.Addr().String()
+	if isOrigin {
+		f.origin = id
+	}
+	f.closers = append(f.closers, ln)
+	f.mu.Unlock()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go f.serve(id, isOrigin, conn)
+		}
+	}()
+	return nil
+}
+
+func (f *fleet) close() {
+	for _, ln := range f.closers {
+		ln.Close()
+	}
+}
+
+func (f *fleet) serve(id string, isOrigin bool, conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	var writeMu sync.Mutex
+	send := func(parts ...string) {
+		writeMu.Lock()
+		defer writeMu.Unlock()
+		_, _ = conn.Write(frame(parts...))
+	}
+	aborted := sync.Map{}
+	for {
+		parts, err := readFrame(reader)
+		if err != nil {
+			return
+		}
+		switch {
+		case len(parts) >= 3 && parts[0] == "fetch":
+			body := ""
+			if len(parts) > 3 {
+				body = parts[3]
+			}
+			go func() {
+				time.Sleep(serviceDelay)
+				if _, gone := aborted.Load(parts[1]); !gone {
+					f.answer(id, isOrigin, parts[1], fieldsOf(parts[2]), body, send)
+				}
+			}()
+		case len(parts) == 2 && parts[0] == "abort":
+			aborted.Store(parts[1], true)
+		case len(parts) == 2:
+			send(parts[1], "green", "rep=inflight:0;util:0.1")
+		default:
+			return
+		}
+	}
+}
+
+func (f *fleet) answer(server string, isOrigin bool, id string, fields map[string]string, body string, send func(...string)) {
+	newer, _ := strconv.ParseFloat(fields["newer"], 64)
+	seen := fetchSeen{
+		at: nowMs(), server: server, id: id, class: fields["lane"], object: fields["name"], source: fields["fetch"], newer: newer, body: body,
+	}
+	key := copyKey{server, fields["name"], fields["piece"]}
+	why := "local"
+	f.mu.Lock()
+	stamp, found := f.copies[key]
+	switch {
+	case seen.class == writeClass && (isOrigin || seen.source != ""):
+		seen.status, why, seen.stamp = "served", "pulled_far", seen.at
+		f.writes = append(f.writes, seen)
+	case seen.class != writeClass && !isOrigin && found && (newer == 0 || seen.at-stamp <= newer):
+		seen.status, seen.stamp = "served", stamp
+	case isOrigin || seen.source != "" && seen.class != writeClass:
+		seen.status, why, seen.stamp = "served", "pulled_far", float64(int64(seen.at))
+		if retain, _ := strconv.Atoi(fields["retain"]); retain > 0 && !isOrigin {
+			f.copies[key] = seen.stamp
+		}
+	default:
+		seen.status, why = "not_here", ""
+	}
+	f.seen = append(f.seen, seen)
+	f.mu.Unlock()
+	f.rec.printf("server %s got %s class=%s object=%s fetch=%s newer=%.0f: %s stamp=%.0f", server, id, seen.class, seen.object, seen.source, newer,
+		seen.status, seen.stamp)
+	if seen.status != "served" {
+		send(id, seen.status, "-")
+		return
+	}
+	send(id, "served", fmt.Sprintf("why=%s,took=0,version=v%.0f,stamp=%.0f", why, seen.stamp, seen.stamp), contentOf(seen.object, seen.stamp))
+}
+
+// contentOf returns the bytes of an object as the origin gave them out at stamp.
+func contentOf(object string, stamp float64) string {
+	return fmt.Sprintf("object %s stamp %.0f", object, stamp)
+}
+
+// stampOf returns the stamp in a body that contentOf made for an object.
+func stampOf(object, body string) (stamp float64, ok bool) {
+	n, err := fmt.Sscanf(body, "object "+object+" stamp %f", &stamp)
+	return stamp, err == nil && n == 1
+}
+
+// purge makes the caches drop, purgeTakes from now, the copies that the origin gave out until now.
+func (f *fleet) purge() (at float64) {
+	at = nowMs()
+	time.AfterFunc(purgeTakes, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for key, stamp := range f.copies {
+			if stamp <= at {
+				delete(f.copies, key)
+			}
+		}
+	})
+	return at
+}
+
+func (f *fleet) seenSince(at float64) (list []fetchSeen) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.seen {
+		if s.at >= at {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func (f *fleet) writesOf(object string) (list []fetchSeen) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.writes {
+		if s.object == object {
+			list = append(list, s)
+		}
+	}
+	return list
+}
