Review case 3: a restart brings a dropped signing key back into the store

Cause: each start of a process puts the keys of its operator's file into the replicated store, whatever revision is in force, and keys are dropped only as a revision arrives.

Nothing is fixed.

--- /dev/null
+++ b/review/casetool/cluster.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"errors"
+	"path/filepath"
+	"time"
+)
+
+// cluster is three proxies that are the members of a store.
+type cluster struct {
+	proxies       []*proxy
+	fronts, admin []string
+}
+
+func (w *world) newCluster() (*cluster, error) {
+	names := []string{"n1", "n2", "n3"}
+	keys := filepath.Join(w.dir, "keys")
+	if _, err := w.command(append([]string{"cluster", "keys", keys, "branch"}, names...)...); err != nil {
+		return nil, err
+	}
+	c := &cluster{}
+	peers := []map[string]any{}
+	for _, name := range names {
+		peers = append(peers, map[string]any{"name": name, "addr": freeAddr()})
+		c.fronts, c.admin = append(c.fronts, freeAddr()), append(c.admin, freeAddr())
+	}
+	for i, name := range names {
+		p, err := w.newProxy(name, i, len(names), map[string]any{
+			"signed": signedPart(c.fronts[i]),
+			"admin":  map[string]any{"listen": c.admin[i]},
+			"store": map[string]any{
+				"name": name, "listen": peers[i]["addr"], "peers": peers, "dir": filepath.Join(w.dir, "store-"+name), "identity": keys, "timeout_ms": 2000,
+			},
+		})
+		if err != nil {
+			return nil, err
+		}
+		c.proxies = append(c.proxies, p)
+	}
+	for _, p := range c.proxies {
+		if err := p.start(); err != nil {
+			return nil, err
+		}
+	}
+	for i, p := range c.proxies {
+		if err := errors.Join(p.awaitReady(20*time.Second), awaitLink(c.fronts[i], "/asset/7f3a9c21e0b4d655")); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
