--- a/review/casetool/proxy.go
+++ b/review/casetool/proxy.go
@@ -24,6 +24,7 @@
 	operator string // path of the operator's file
 	config   string // path of the platform's configuration
 	tmp      string
+	console  string // of operators; empty: none
 	starts   int
 
 	cmd    *exec.Cmd
@@ -101,7 +102,7 @@
 	class := func(name, effect string, target, deadline, worth, stretch float64) map[string]any {
 		return map[string]any{
 			"Name": name, "Effect": effect, "TargetUs": second(target), "DeadlineUs": second(deadline), "Worth": worth, "AimStretch": stretch,
-			"LateValue": 0.1, "Group": "all", "Stream": false, "WindowUs": second(5),
+			"LateValue": 0.1, "Group": "all", "Stream": false, "WindowUs": second(6),
 		}
 	}
 	settings := map[string]any{
@@ -116,11 +117,12 @@
 		},
 		"Grades": []any{
 			class("replay", "idempotent", 0.4, 5, 2, 1.6), class("asset", "idempotent", 0.4, 2.5, 1, 2), class(writeClass, "at_most_once", 0.6, 3, 3, 0),
+			class(keyedClass, "deduplicated", 0.6, 3, 3, 0),
 		},
 		"FamilyInfo": map[string]any{
 			"SecondTierKind": 1, "RootKind": 2, "NoteLevel": "all", "PeersFill": "location", "SharesFills": false, "MayPassBy": false,
-			"ZoneBalancers": []int{0, count}, "HomeHub": []int{0, 0}, "Uncached": []bool{false, false, true}, "InParts": []bool{true, false, false},
-			"ClassFreshUs": []int{0, 0, 0}, "StaleForUs": []int{0, 0, 0}, "PurgeTakesUs": second(6), "NoticeTimeUs": second(1),
+			"ZoneBalancers": []int{0, count}, "HomeHub": []int{0, 0}, "Uncached": []bool{false, false, true, true}, "InParts": []bool{true, false, false, false},
+			"ClassFreshUs": []int{0, 0, 0, 0}, "StaleForUs": []int{0, 0, 0, 0}, "PurgeTakesUs": second(6), "NoticeTimeUs": second(1),
 			"FlowKbPerS": 6000, "ParentColdFrom": 0.061, "ParentBreaksAt": 2, "ParentWarmsInUs": second(22),
 		},
 	}
@@ -155,7 +157,7 @@
 	defer log.Close()
 	cmd := exec.Command("/bin/sh", "-c", p.w.prefix+p.w.run+" serve --operator "+p.operator)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = p.w.root, log, log
-	cmd.Env = append(os.Environ(), "LB_NAME="+p.name, "LB_LISTEN="+p.listen, "LB_CONFIG="+p.config, "TMPDIR="+p.tmp)
+	cmd.Env = append(os.Environ(), "LB_NAME="+p.name, "LB_LISTEN="+p.listen, "LB_CONFIG="+p.config, "LB_CONSOLE="+p.console, "TMPDIR="+p.tmp)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
--- a/review/casetool/servers.go
+++ b/review/casetool/servers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -16,7 +17,9 @@
 	serviceDelay = 5 * time.Millisecond
 	purgeTakes   = 5500 * time.Millisecond // the pages: older copies are dropped within 6 s
 	writeClass   = "seat-claim"
-	objectGroup  = 17 // of all objects of the cases
+	keyedClass   = "report" // writes that carry a key, whose repeats the main store drops for keyWindow
+	keyWindow    = 6000     // ms
+	objectGroup  = 17       // of all objects of the cases
 )
 
 // fetchSeen is a request as a server received it.
@@ -27,6 +30,7 @@
 	class  string
 	object string
 	source string
+	key    string
 	newer  float64
 	status string
 	stamp  float64
@@ -38,17 +42,21 @@
 type fleet struct {
 	rec *record
 
-	mu      sync.Mutex
-	copies  map[copyKey]float64 // stamps
-	seen    []fetchSeen
-	writes  []fetchSeen // that ran
+	mu     sync.Mutex
+	copies map[copyKey]float64 // stamps
+	seen   []fetchSeen
+	writes []fetchSeen        // that ran
+	keys   map[string]float64 // when a write with the key ran, Unix ms
+	// resets tells whether a server resets the connection under a write that has just run, in place of its answer; nil: never.
+	resets  func(fetchSeen) bool
 	addrs   map[string]string
 	origin  string
+	size    int // of a body in bytes, at least
 	closers []net.Listener
 }
 
 func newFleet(rec *record) *fleet {
-	return &fleet{rec: rec, copies: map[copyKey]float64{}, addrs: map[string]string{}}
+	return &fleet{rec: rec, copies: map[copyKey]float64{}, keys: map[string]float64{}, addrs: map[string]string{}}
 }
 
 // start starts a server at a free loopback port.
@@ -91,6 +99,10 @@
 		defer writeMu.Unlock()
 		_, _ = conn.Write(frame(parts...))
 	}
+	drop := func() {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		conn.Close()
+	}
 	aborted := sync.Map{}
 	for {
 		parts, err := readFrame(reader)
@@ -106,7 +118,7 @@
 			go func() {
 				time.Sleep(serviceDelay)
 				if _, gone := aborted.Load(parts[1]); !gone {
-					f.answer(id, isOrigin, parts[1], fieldsOf(parts[2]), body, send)
+					f.answer(id, isOrigin, parts[1], fieldsOf(parts[2]), body, send, drop)
 				}
 			}()
 		case len(parts) == 2 && parts[0] == "abort":
@@ -119,22 +131,28 @@
 	}
 }
 
-func (f *fleet) answer(server string, isOrigin bool, id string, fields map[string]string, body string, send func(...string)) {
+func (f *fleet) answer(server string, isOrigin bool, id string, fields map[string]string, body string, send func(...string), drop func()) {
 	newer, _ := strconv.ParseFloat(fields["newer"], 64)
 	seen := fetchSeen{
-		at: nowMs(), server: server, id: id, class: fields["lane"], object: fields["name"], source: fields["fetch"], newer: newer, body: body,
+		at: nowMs(), server: server, id: id, class: fields["lane"], object: fields["name"], source: fields["fetch"], newer: newer, key: fields["dedupe"], body: body,
 	}
 	key := copyKey{server, fields["name"], fields["piece"]}
 	why := "local"
+	isWrite := seen.class == writeClass || seen.class == keyedClass
+	reset := false
 	f.mu.Lock()
 	stamp, found := f.copies[key]
 	switch {
-	case seen.class == writeClass && (isOrigin || seen.source != ""):
+	case isWrite && (isOrigin || seen.source != ""):
 		seen.status, why, seen.stamp = "served", "pulled_far", seen.at
-		f.writes = append(f.writes, seen)
-	case seen.class != writeClass && !isOrigin && found && (newer == 0 || seen.at-stamp <= newer):
+		if ranAt, ran := f.keys[seen.key]; seen.key == "" || !ran || seen.at-ranAt > keyWindow {
+			f.keys[seen.key] = seen.at
+			f.writes = append(f.writes, seen)
+			reset = f.resets != nil && f.resets(seen)
+		}
+	case !isWrite && !isOrigin && found && (newer == 0 || seen.at-stamp <= newer):
 		seen.status, seen.stamp = "served", stamp
-	case isOrigin || seen.source != "" && seen.class != writeClass:
+	case isOrigin || seen.source != "" && !isWrite:
 		seen.status, why, seen.stamp = "served", "pulled_far", float64(int64(seen.at))
 		if retain, _ := strconv.Atoi(fields["retain"]); retain > 0 && !isOrigin {
 			f.copies[key] = seen.stamp
@@ -144,13 +162,23 @@
 	}
 	f.seen = append(f.seen, seen)
 	f.mu.Unlock()
-	f.rec.printf("server %s got %s class=%s object=%s fetch=%s newer=%.0f: %s stamp=%.0f", server, id, seen.class, seen.object, seen.source, newer,
+	f.rec.printf("server %s got %s class=%s object=%s fetch=%s dedupe=%s newer=%.0f: %s stamp=%.0f", server, id, seen.class, seen.object, seen.source, seen.key, newer,
 		seen.status, seen.stamp)
+	if reset {
+		f.rec.printf("server %s: %s has run, and the connection is reset under it", server, id)
+		drop()
+		return
+	}
 	if seen.status != "served" {
 		send(id, seen.status, "-")
 		return
 	}
-	send(id, "served", fmt.Sprintf("why=%s,took=0,version=v%.0f,stamp=%.0f", why, seen.stamp, seen.stamp), contentOf(seen.object, seen.stamp))
+	send(id, "served", fmt.Sprintf("why=%s,took=0,version=v%.0f,stamp=%.0f", why, seen.stamp, seen.stamp), f.pad(contentOf(seen.object, seen.stamp)))
+}
+
+// pad fills a body up to the size of the fleet's bodies.
+func (f *fleet) pad(body string) string {
+	return body + strings.Repeat(".", max(0, f.size-len(body)))
 }
 
 // contentOf returns the bytes of an object as the origin gave them out at stamp.
