--- a/review/casetool/main.go
+++ b/review/casetool/main.go
@@ -28,11 +28,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	root, err := filepath.Abs(filepath.Join(os.Args[2], "../.."))
+	program, err := os.Executable() // review/bin/casetool
 	if err != nil {
+		rec.say("the case couldn't run: %v", err)
 		return 2
 	}
-	w, err := newWorld(root, rec)
+	w, err := newWorld(filepath.Join(filepath.Dir(program), "../.."), rec)
 	if err != nil {
 		rec.say("the case couldn't run: %v", err)
 		return 2
