--- a/review/casetool/main.go
+++ b/review/casetool/main.go
@@ -39,6 +39,9 @@
 		return 2
 	}
 	defer w.close()
+	// A reader of the output that leaves early must not end the program before it has cleaned up. (An ignored signal would be
+	// inherited by the proxies.)
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	trouble := os.Getenv("TROUBLE") != "0"
