--- a/review/casetool/board.go
+++ b/review/casetool/board.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -73,15 +75,36 @@
 	}
 }
 
+// changeServer tells a change of a cache box of the branch. Times are Unix ms; started 0: long ago.
+func (b *board) changeServer(id, addr string, state byte, weight int, started float64) {
+	var number uint32
+	_, _ = fmt.Sscanf(id, "s-%08x", &number)
+	host, port, _ := net.SplitHostPort(addr)
+	portNumber, _ := strconv.Atoi(port)
+	payload := binary.BigEndian.AppendUint32(nil, number)
+	payload = append(payload, net.ParseIP(host).To4()...)
+	payload = binary.BigEndian.AppendUint16(payload, uint16(portNumber))
+	payload = append(payload, state, 1, 0) // of the zone and the kind: their places in the settings
+	payload = binary.BigEndian.AppendUint16(payload, 0)
+	payload = binary.BigEndian.AppendUint32(payload, uint32(weight)*1000)
+	payload = binary.BigEndian.AppendUint64(payload, uint64(started))
+	b.tell(2, payload)
+	b.rec.printf("board: told %s state %d started %.0f", id, state, started)
+}
+
+func (b *board) tell(kind byte, payload []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.frames = append(b.frames, boardFrame(uint64(len(b.frames)+2), kind, payload))
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
 // purgeGroup tells the purge of a group that was made at a Unix time in ms.
 func (b *board) purgeGroup(group int, at float64) {
 	payload := binary.BigEndian.AppendUint16(nil, uint16(group))
 	payload = binary.BigEndian.AppendUint64(payload, uint64(at))
-	b.mu.Lock()
-	b.frames = append(b.frames, boardFrame(uint64(len(b.frames)+2), 4, payload))
-	close(b.changed)
-	b.changed = make(chan struct{})
-	b.mu.Unlock()
+	b.tell(4, payload)
 	b.rec.printf("board: told the purge of group %d at %.0f", group, at)
 }
 
@@ -94,7 +117,7 @@
 			kind, in = "store", "hub"
 		}
 		instances = append(instances, map[string]any{
-			"instanceId": id, "hostPort": addr, "zone": in, "machineType": kind, "cell": 0, "lifecycle": "up", "weight": 8, "startedAtMs": 0,
+			"instanceId": id, "hostPort": addr, "zone": in, "machineType": kind, "cell": 0, "lifecycle": "up", "weight": boxWeight, "startedAtMs": 0,
 		})
 	}
 	raw, _ := json.Marshal(map[string]any{
--- a/review/casetool/cluster.go
+++ b/review/casetool/cluster.go
@@ -6,10 +6,18 @@
 	"time"
 )
 
+// The times of the cases in which a member of the store is away.
+const (
+	drainGrace = 2050                     // ms: 2 s after the drain is told, and 50 ms for real sockets
+	absence    = 15300 * time.Millisecond // the pages: a branch is lost for 12 to 25 s
+	readsFor   = 12 * time.Second
+)
+
 // cluster is three proxies that are the members of a store.
 type cluster struct {
 	proxies       []*proxy
 	fronts, admin []string
+	members       []string // addresses at which the members reach one another
 }
 
 func (w *world) newCluster() (*cluster, error) {
@@ -28,6 +36,7 @@
 		p, err := w.newProxy(name, i, len(names), map[string]any{
 			"signed": signedPart(c.fronts[i]),
 			"admin":  map[string]any{"listen": c.admin[i]},
+			"state":  map[string]any{"dir": filepath.Join(w.dir, "state-"+name)},
 			"store": map[string]any{
 				"name": name, "listen": peers[i]["addr"], "peers": peers, "dir": filepath.Join(w.dir, "store-"+name), "identity": keys, "timeout_ms": 2000,
 			},
@@ -35,6 +44,8 @@
 		if err != nil {
 			return nil, err
 		}
+		p.console = freeAddr()
+		c.members = append(c.members, peers[i]["addr"].(string))
 		c.proxies = append(c.proxies, p)
 	}
 	for _, p := range c.proxies {
--- a/review/casetool/proxy.go
+++ b/review/casetool/proxy.go
@@ -276,3 +276,20 @@
 	}
 	return answer[1], body, nil
 }
+
+// call makes a call at the console of a proxy, and returns the answer's line.
+func (p *proxy) call(line string) (string, error) {
+	conn, err := net.DialTimeout("tcp", p.console, time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	began := nowMs()
+	if _, err := fmt.Fprintln(conn, line); err != nil {
+		return "", err
+	}
+	answer, err := bufio.NewReader(conn).ReadString('\n')
+	p.w.rec.printf("console of %s: %s: %s after %.0f ms %v", p.name, line, strings.TrimSpace(answer), nowMs()-began, err)
+	return answer, err
+}
--- a/review/casetool/servers.go
+++ b/review/casetool/servers.go
@@ -49,6 +49,9 @@
 	keys   map[string]float64 // when a write with the key ran, Unix ms
 	// resets tells whether a server resets the connection under a write that has just run, in place of its answer; nil: never.
 	resets  func(fetchSeen) bool
+	hung    map[string]bool // servers that take requests and answer none
+	conns   map[string][]net.Conn
+	sending time.Duration // of an answer; 0: serviceDelay
 	addrs   map[string]string
 	origin  string
 	size    int // of a body in bytes, at least
@@ -56,7 +59,7 @@
 }
 
 func newFleet(rec *record) *fleet {
-	return &fleet{rec: rec, copies: map[copyKey]float64{}, keys: map[string]float64{}, addrs: map[string]string{}}
+	return &fleet{rec: rec, copies: map[copyKey]float64{}, keys: map[string]float64{}, addrs: map[string]string{}, hung: map[string]bool{}, conns: map[string][]net.Conn{}}
 }
 
 // start starts a server at a free loopback port.
@@ -78,6 +81,9 @@
 			if err != nil {
 				return
 			}
+			f.mu.Lock()
+			f.conns[id] = append(f.conns[id], conn)
+			f.mu.Unlock()
 			go f.serve(id, isOrigin, conn)
 		}
 	}()
@@ -116,7 +122,7 @@
 				body = parts[3]
 			}
 			go func() {
-				time.Sleep(serviceDelay)
+				time.Sleep(max(serviceDelay, f.sending))
 				if _, gone := aborted.Load(parts[1]); !gone {
 					f.answer(id, isOrigin, parts[1], fieldsOf(parts[2]), body, send, drop)
 				}
@@ -141,6 +147,13 @@
 	isWrite := seen.class == writeClass || seen.class == keyedClass
 	reset := false
 	f.mu.Lock()
+	if f.hung[server] {
+		seen.status = "no answer"
+		f.seen = append(f.seen, seen)
+		f.mu.Unlock()
+		f.rec.printf("server %s got %s class=%s object=%s: hangs", server, id, seen.class, seen.object)
+		return
+	}
 	stamp, found := f.copies[key]
 	switch {
 	case isWrite && (isOrigin || seen.source != ""):
@@ -207,6 +220,30 @@
 	return at
 }
 
+// restart makes a server lose its connections and its copies, as when its process is started again.
+func (f *fleet) restart(server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, conn := range f.conns[server] {
+		conn.Close()
+	}
+	f.conns[server] = nil
+	for key := range f.copies {
+		if key.server == server {
+			delete(f.copies, key)
+		}
+	}
+	f.rec.printf("server %s: restarted, empty", server)
+}
+
+// hang makes a server take requests and answer none.
+func (f *fleet) hang(server string) {
+	f.mu.Lock()
+	f.hung[server] = true
+	f.mu.Unlock()
+	f.rec.printf("server %s: takes requests and answers none from now on", server)
+}
+
 func (f *fleet) seenSince(at float64) (list []fetchSeen) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
