--- a/review/casetool/cold.go
+++ b/review/casetool/cold.go
@@ -47,7 +47,7 @@
 		return false, err
 	}
 	path := filepath.Join(w.dir, "servers.jsonc")
-	if err := w.writeList(path, 1, ""); err != nil {
+	if err := w.writeList(path, 1, "", ""); err != nil {
 		return false, err
 	}
 	var proxies []*proxy
--- a/review/casetool/resume.go
+++ b/review/casetool/resume.go
@@ -20,7 +20,7 @@
 	const box = "s-00000001"
 	p := c.proxies[2]
 	path := filepath.Join(w.dir, "pushed.jsonc")
-	if err := w.writeList(path, 1, box); err != nil {
+	if err := w.writeList(path, 1, box, ""); err != nil {
 		return false, err
 	}
 	if text, err := w.command("servers", "push", path, "--admin", c.admin[2]); err != nil {
