--- a/review/casetool/proxy.go
+++ b/review/casetool/proxy.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -76,14 +77,26 @@
 	os.RemoveAll(w.dir)
 }
 
-// freeAddr returns a loopback address with a free port.
+// The addresses that are given to processes: of a loopback host drawn for this run, at ports below those that the system gives to
+// other sockets, so that none is taken between its choice and its use.
+var (
+	ownHost  = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+	lastPort = 20_000 + rand.IntN(5000)
+	portMu   sync.Mutex
+)
+
+// freeAddr returns a loopback address with a free port, a new one with each call.
 func freeAddr() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	portMu.Lock()
+	defer portMu.Unlock()
+	for {
+		lastPort++
+		addr := fmt.Sprintf("%s:%d", ownHost, lastPort)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
 
 // startServers starts two cache boxes and the main store.
