--- a/review/casetool/away.go
+++ b/review/casetool/away.go
@@ -14,7 +14,7 @@
 	if err := w.startServers(); err != nil {
 		return false, err
 	}
-	c, err := w.newCluster()
+	c, err := w.newCluster(true)
 	if err != nil {
 		return false, err
 	}
--- a/review/casetool/cluster.go
+++ b/review/casetool/cluster.go
@@ -20,7 +20,8 @@
 	members       []string // addresses at which the members reach one another
 }
 
-func (w *world) newCluster() (*cluster, error) {
+// newCluster starts a cluster, whose members also keep a state of their own where withState is set.
+func (w *world) newCluster(withState bool) (*cluster, error) {
 	names := []string{"n1", "n2", "n3"}
 	keys := filepath.Join(w.dir, "keys")
 	if _, err := w.command(append([]string{"cluster", "keys", keys, "branch"}, names...)...); err != nil {
@@ -33,14 +34,17 @@
 		c.fronts, c.admin = append(c.fronts, freeAddr()), append(c.admin, freeAddr())
 	}
 	for i, name := range names {
-		p, err := w.newProxy(name, i, len(names), map[string]any{
+		operator := map[string]any{
 			"signed": signedPart(c.fronts[i]),
 			"admin":  map[string]any{"listen": c.admin[i]},
-			"state":  map[string]any{"dir": filepath.Join(w.dir, "state-"+name)},
 			"store": map[string]any{
 				"name": name, "listen": peers[i]["addr"], "peers": peers, "dir": filepath.Join(w.dir, "store-"+name), "identity": keys, "timeout_ms": 2000,
 			},
-		})
+		}
+		if withState {
+			operator["state"] = map[string]any{"dir": filepath.Join(w.dir, "state-"+name)}
+		}
+		p, err := w.newProxy(name, i, len(names), operator)
 		if err != nil {
 			return nil, err
 		}
--- a/review/casetool/join.go
+++ b/review/casetool/join.go
@@ -37,7 +37,7 @@
 	if err := w.startServers(); err != nil {
 		return false, err
 	}
-	c, err := w.newCluster()
+	c, err := w.newCluster(true)
 	if err != nil {
 		return false, err
 	}
--- a/review/casetool/key.go
+++ b/review/casetool/key.go
@@ -16,7 +16,7 @@
 	if err := w.startServers(); err != nil {
 		return false, err
 	}
-	c, err := w.newCluster()
+	c, err := w.newCluster(false)
 	if err != nil {
 		return false, err
 	}
--- a/review/casetool/links.go
+++ b/review/casetool/links.go
@@ -13,7 +13,7 @@
 	if err := w.startServers(); err != nil {
 		return false, err
 	}
-	c, err := w.newCluster()
+	c, err := w.newCluster(true)
 	if err != nil {
 		return false, err
 	}
