Signed front: a request of a keyed class carries a key of its own in all attempts

Cause: parseRequest of front/signed left core.Request.IdempotencyKey empty. The module repeats an attempt of such a class, and without "dedupe" in the frame the store can't tell the repeat.

Change: the front draws a random key for each request of a keyed class, reads included. Not the token's jti: links may have none or be used many times, and a client could choose it.

--- a/internal/front/signed/front_test.go
+++ b/internal/front/signed/front_test.go
@@ -23,6 +23,7 @@
 	"ravenwheel/internal/front/signed"
 	"ravenwheel/internal/scenario"
 	"ravenwheel/internal/store"
+	"ravenwheel/policy"
 )
 
 const (
@@ -70,6 +71,7 @@
 		"good":         signES256(read, nil),
 		"brief":        signES256(read, jwt.MapClaims{"exp": s.serverNow + (briefValidity-leeway)/1000}),
 		"write":        signES256(write, nil),
+		"write2":       signES256(write, jwt.MapClaims{"jti": "j3"}),
 		"nojti":        signES256(write, jwt.MapClaims{"jti": nil}),
 		"noexp":        signES256(read, jwt.MapClaims{"exp": nil}),
 		"aud":          signES256(read, jwt.MapClaims{"aud": "other"}),
@@ -188,16 +190,29 @@
 }
 
 func runScenario(t *testing.T, issuerAhead float64, script string) {
-	p := scenario.NewProxy(t)
+	startFront(t, scenario.Settings(), issuerAhead).run(script)
+}
+
+// frontFixture is a front with its core, its store and the actors of scenarios.
+type frontFixture struct {
+	t      *testing.T
+	proxy  *scenario.Proxy
+	signer signer
+	actors map[string]scenario.Actor
+}
+
+// startFront starts a front that runs until the test ends. The issuer's clock is ahead of the front's by issuerAhead ms.
+func startFront(t *testing.T, settings policy.Settings, issuerAhead float64) *frontFixture {
+	p := scenario.NewProxyWithSettings(t, settings)
 	st, err := store.Open(store.Options{Clock: p.Clock, Timeout: time.Second})
 	require.NoError(t, err)
 	closed := false
 	closeStore := func(string) error { closed = true; return st.Close() }
-	defer func() {
+	t.Cleanup(func() {
 		if !closed {
 			_ = st.Close()
 		}
-	}()
+	})
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	require.NoError(t, err)
 	der, err := x509.MarshalPKIXPublicKey(&key.PublicKey)
@@ -210,25 +225,38 @@
 	require.NoError(t, err)
 	f := signed.New(signed.Options{Audience: "tabletop", Leeway: leeway, Clock: p.Clock, Store: st, Core: p.Core})
 	go func() { _ = f.Serve(ln) }()
-	defer func() {
+	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel() // a failed scenario may leave requests open
 		_ = f.Shutdown(ctx)
-	}()
+	})
 	base := (&url.URL{Scheme: "http", Host: ln.Addr().String()}).String()
-	s := signer{t: t, base: base, now: (p.Clock.Now() + issuerAhead) / 1000, serverNow: p.Clock.Now() / 1000, key: key}
-	script = s.insertTokens(strings.ReplaceAll(script, "{expiry}", fmt.Sprint(briefValidity+1)))
-	scenario.Run(t, p.Clock, map[string]scenario.Actor{
-		"c": scenario.NewHTTPClient(base), "s": p.Cache, "delete-key": operation(st.DeleteKey), "store": operation(closeStore),
-		"step-wall-clock": operation(func(ms string) error {
-			by, err := strconv.ParseFloat(ms, 64)
-			p.Clock.StepWall(by)
-			return err
-		}),
-		"revoke": operation(func(jti string) error { return st.RevokeToken(jti, p.Clock.Now()+1e6) }),
-	}, script)
-	n := &p.Core.Counters
-	require.Eventually(t, func() bool {
+	return &frontFixture{
+		t: t, proxy: p,
+		signer: signer{t: t, base: base, now: (p.Clock.Now() + issuerAhead) / 1000, serverNow: p.Clock.Now() / 1000, key: key},
+		actors: map[string]scenario.Actor{
+			"c": scenario.NewHTTPClient(base), "s": p.Cache, "delete-key": operation(st.DeleteKey), "store": operation(closeStore),
+			"step-wall-clock": operation(func(ms string) error {
+				by, err := strconv.ParseFloat(ms, 64)
+				p.Clock.StepWall(by)
+				return err
+			}),
+			"revoke": operation(func(jti string) error { return st.RevokeToken(jti, p.Clock.Now()+1e6) }),
+		},
+	}
+}
+
+// run runs a script, and requires that each request has then ended exactly once.
+func (f *frontFixture) run(script string) {
+	f.runPart(script)
+	n := &f.proxy.Core.Counters
+	require.Eventually(f.t, func() bool {
 		return n.Served.Load()+n.Rejected.Load()+n.Failed.Load()+n.Abandoned.Load() == n.Requests.Load()
 	}, time.Minute, time.Millisecond, "each request ends exactly once")
 }
+
+// runPart runs a script that may leave requests open.
+func (f *frontFixture) runPart(script string) {
+	script = f.signer.insertTokens(strings.ReplaceAll(script, "{expiry}", fmt.Sprint(briefValidity+1)))
+	scenario.Run(f.t, f.proxy.Clock, f.actors, script)
+}
--- a/internal/front/signed/request.go
+++ b/internal/front/signed/request.go
@@ -12,6 +12,7 @@
 
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
+	"ravenwheel/policy"
 )
 
 const (
@@ -19,6 +20,11 @@
 	maxWriteBytes = 48_000
 	// budgetHeader is the header that says how long the client waits for the answer, in ms from when it sent the request.
 	budgetHeader = "X-Budget-Ms"
+	// requestIDBytes is the length of a request's id, in bytes.
+	requestIDBytes = 8
+	// idempotencyKeyBytes is the length of an idempotency key, in bytes. Keys must not collide or be guessed: a server drops a request
+	// whose key it has seen.
+	idempotencyKeyBytes = 16
 	// noGroup is the purge group of a request that names no group.
 	noGroup = -1
 	// tokenParameter is the query parameter or cookie that carries a signed link's JWT (RFC 9246, section 2).
@@ -37,7 +43,8 @@
 }
 
 // parseRequest converts an HTTP request that arrived at now, in ms of the clock, to a request for the core. ok is false if it is
-// malformed.
+// malformed. HTTP clients send no idempotency key, so a request of a class that needs one gets a new key, which all its attempts
+// carry.
 func (f *Front) parseRequest(r *http.Request, now float64) (p parsedRequest, ok bool) {
 	className, object, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	class := f.handler.ClassIndex(className)
@@ -50,7 +57,10 @@
 		return p, false
 	}
 	p.Request = core.Request{
-		ID: newRequestID(), Class: class, Object: object, Group: noGroup, Deadline: now + clock.Ms(settings.Deadline),
+		ID: randomHex(requestIDBytes), Class: class, Object: object, Group: noGroup, Deadline: now + clock.Ms(settings.Deadline),
+	}
+	if settings.Idempotency == policy.IdempotentByKey {
+		p.IdempotencyKey = randomHex(idempotencyKeyBytes)
 	}
 	if !p.parseOptions(r, now) {
 		return p, false
@@ -98,10 +108,11 @@
 	return body, true
 }
 
-func newRequestID() string {
-	var id [8]byte
-	_, _ = rand.Read(id[:])
-	return hex.EncodeToString(id[:])
+// randomHex returns n random bytes in hexadecimal.
+func randomHex(n int) string {
+	random := make([]byte, n)
+	_, _ = rand.Read(random)
+	return hex.EncodeToString(random)
 }
 
 // splitToken returns the JWT of a signed link and the URI that was signed, which is the request's URI without the JWT. The JWT is
--- a/internal/scenario/proxy.go
+++ b/internal/scenario/proxy.go
@@ -45,12 +45,16 @@
 // startMs is the time at which scenarios start: 2025-12-01 08:00 UTC, in Unix ms.
 const startMs = 1_764_576_000_000
 
-// NewProxy starts a core with one cache server, which is a fake. Nothing listens at the addresses of its parent and of the origin.
-func NewProxy(t *testing.T) *Proxy {
+// NewProxy starts a core with the settings of Settings and one cache server, which is a fake. Nothing listens at the addresses of
+// its parent and of the origin.
+func NewProxy(t *testing.T) *Proxy { return NewProxyWithSettings(t, Settings()) }
+
+// NewProxyWithSettings is NewProxy for other settings, with as many classes.
+func NewProxyWithSettings(t *testing.T, settings policy.Settings) *Proxy {
 	p := &Proxy{Clock: clock.Manual(startMs), Cache: Listen(t)}
 	p.Pools = upstream.New(p.Clock, upstream.Limits{AttemptsPerConn: 100, ConnsPerServer: 4, ConnectTimeout: 5000, IdleTimeout: 30_000})
 	var err error
-	p.Core, err = core.New(Settings(), []string{"replay", "asset", "seat-claim"}, 0, 7, p.Clock, p.Pools)
+	p.Core, err = core.New(settings, []string{"replay", "asset", "seat-claim"}, 0, 7, p.Clock, p.Pools)
 	require.NoError(t, err)
 	list := []core.Member{{Addr: p.Cache.Addr()}, {Addr: "127.0.0.1:1"}, {Addr: "127.0.0.1:1"}}
 	for i, id := range []policy.ServerID{CacheID, ParentID, OriginID} {
--- a/internal/scenario/server.go
+++ b/internal/scenario/server.go
@@ -105,12 +105,18 @@
 
 // Close ends the server like a process that is killed: its connections are reset.
 func (s *Server) Close() error {
+	s.ResetConns()
+	_ = s.listener.Close()
+	return nil
+}
+
+// ResetConns resets the server's connections. It goes on accepting new ones.
+func (s *Server) ResetConns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, conn := range s.conns {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		_ = conn.Close()
 	}
-	_ = s.listener.Close()
-	return nil
+	s.conns = nil
 }
