policy: without an idempotency key, a request of a keyed class is not repeated

Callers would see: a write of a "deduplicated" class sent without a key runs twice after a reset, or is refused ("trying again is harmless") after an attempt that may have run, on either front.

Cause: maySendTo and mayReject went by the class alone; the module did not know whether a request has a key.

Change: policy.Request.KeyIssuer, whose zero value says that there is no key; Class.EffectiveIdempotency then gives NotIdempotent. The core asks the same function which connection an attempt takes. The simulator's adapter and the emulator say that their clients have keys.

Since: go test ./policy ./internal/core ./wire ./internal/lab/sim passes.

--- a/internal/core/open_request.go
+++ b/internal/core/open_request.go
@@ -54,7 +54,7 @@
 	c.catchUpWithDiscovery()
 	c.notify(policy.Request{
 		ID: request.ID, TimeLeft: clock.Duration(request.Deadline - c.clock.Now()), Class: request.Class,
-		Object: request.Object, Part: request.Part, Group: request.Group, SizeKB: request.SizeKB,
+		KeyIssuer: request.keyIssuer(), Object: request.Object, Part: request.Part, Group: request.Group, SizeKB: request.SizeKB,
 		ClientRetry: request.ClientRetry, Write: c.settings.Classes[request.Class].Uncached,
 	})
 	for {
@@ -266,7 +266,7 @@
 		CachedTag: request.CachedTag, IdempotencyKey: request.IdempotencyKey, Body: request.Body,
 		Server: fetch.Server, Source: fetch.Source, Deadline: now + timeLeft, MaxAge: clock.Ms(fetch.MaxAge),
 		RetainRank: fetch.RetainRank, Options: fetch.Options, SendBy: sendBy, ClientGone: request.ClientGone,
-		NonIdempotent: class.Idempotency == policy.NotIdempotent,
+		NonIdempotent: class.EffectiveIdempotency(request.keyIssuer()) == policy.NotIdempotent,
 	}, func(outcome Outcome) { o.inbox <- attemptEnded{index, outcome} })
 }
 
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -24,6 +24,14 @@
 	ClientGone func() bool
 }
 
+// keyIssuer returns who chose the request's idempotency key.
+func (r *Request) keyIssuer() policy.KeyIssuer {
+	if r.IdempotencyKey == "" {
+		return policy.NoKey
+	}
+	return policy.ClientKey
+}
+
 func (r *Request) clientGone() bool { return r.ClientGone != nil && r.ClientGone() }
 
 // Verdict is the kind of a final answer.
--- a/internal/lab/sim/proxy.go
+++ b/internal/lab/sim/proxy.go
@@ -197,7 +197,8 @@
 	p.requests[r.id] = r
 	s.checker.requestReceived(r)
 	p.handle(policy.Request{
-		ID: r.id, TimeLeft: duration(client.attemptTimeout), Class: client.class, Object: s.objectName(client.key.object),
+		ID: r.id, TimeLeft: duration(client.attemptTimeout), Class: client.class,
+		KeyIssuer: policy.ClientKey, Object: s.objectName(client.key.object),
 		Part: int(client.key.part), Group: -1, SizeKB: client.kb, ClientRetry: client.attempts > 1,
 		Write: s.scenario.Traffic.Classes[client.class].Write,
 	})
--- a/policy/events.go
+++ b/policy/events.go
@@ -45,11 +45,21 @@
 	Entries []Member
 }
 
+// KeyIssuer says who chose the idempotency key that all attempts of a request carry.
+type KeyIssuer int
+
+// The issuers of idempotency keys.
+const (
+	NoKey     KeyIssuer = iota // the attempts carry no key
+	ClientKey                  // the client: its retries of the request have the same key
+)
+
 // Request is a client's request, which must get exactly one final answer.
 type Request struct {
 	ID          string
 	TimeLeft    time.Duration // until the client's deadline
 	Class       int           // index in Settings.Classes
+	KeyIssuer   KeyIssuer
 	Tenant      int
 	Object      string
 	Part        int
--- a/policy/idempotency.go
+++ b/policy/idempotency.go
@@ -5,10 +5,11 @@
 // passed since the first attempt that may have executed the request.
 func (req *openRequest) maySendTo(now Time, to *server) bool {
 	first := req.firstPossiblyExecuted()
-	if first == nil || req.class.Idempotency == Idempotent {
+	idempotency := req.class.EffectiveIdempotency(req.KeyIssuer)
+	if first == nil || idempotency == Idempotent {
 		return true
 	}
-	if req.class.Idempotency == NotIdempotent || now-first.sentAt >= req.class.DedupWindow {
+	if idempotency == NotIdempotent || now-first.sentAt >= req.class.DedupWindow {
 		return false
 	}
 	switch req.class.DedupScope {
@@ -23,7 +24,7 @@
 // mayReject reports whether a rejection is safe: it tells the client that it may retry. A client's retry may
 // reach any cache, so an idempotency key makes it safe only if all caches discard duplicates together.
 func (req *openRequest) mayReject() bool {
-	class := req.class
-	dedupedEverywhere := class.Idempotency == IdempotentByKey && class.DedupScope == DedupAll
-	return class.Idempotency == Idempotent || dedupedEverywhere || req.firstPossiblyExecuted() == nil
+	idempotency := req.class.EffectiveIdempotency(req.KeyIssuer)
+	dedupedEverywhere := idempotency == IdempotentByKey && req.class.DedupScope == DedupAll
+	return idempotency == Idempotent || dedupedEverywhere || req.firstPossiblyExecuted() == nil
 }
--- a/policy/idempotency_test.go
+++ b/policy/idempotency_test.go
@@ -46,7 +46,9 @@
 			members.Entries[i].Cell = test.cell(members.Entries[i].ID)
 		}
 		h := startRouter(t, settings, members)
-		fetch := h.requireFetch(h.handle(newRequest("a", "o")))
+		request := newRequest("a", "o")
+		request.KeyIssuer = ClientKey
+		fetch := h.requireFetch(h.handle(request))
 		h.now += test.wait
 		actions := h.handle(Outcome{ID: "a", Server: fetch.Server, Result: Reset})
 		retry, retried := findAction[Fetch](actions)
@@ -58,3 +60,24 @@
 		}
 	}
 }
+
+// Guards against a request without a key that runs twice: its class is idempotent by key, but no server knows its duplicate.
+func TestRequestWithoutKeyIsNeitherRetriedNorRejected(t *testing.T) {
+	for _, scope := range []DedupScope{DedupAll, DedupZone, DedupCell} {
+		for _, test := range []struct {
+			result    Result
+			wantRetry bool
+		}{{TimedOut, false}, {Failed, false}, {Reset, false}, {Cancelled, false}, {Unknown, false}, {Overloaded, true}, {ConnectFailed, true}, {Miss, true}} {
+			settings := testSettings()
+			settings.Classes[0].Idempotency, settings.Classes[0].DedupScope, settings.Classes[0].DedupWindow = IdempotentByKey, scope, time.Hour
+			h := startRouter(t, settings, testMembers())
+			fetch := h.requireFetch(h.handle(newRequest("a", "o")))
+			actions := h.handle(Outcome{ID: "a", Server: fetch.Server, Result: test.result})
+			_, gotRetry := findAction[Fetch](actions)
+			_, gotFail := findAction[Fail](actions)
+			if gotRetry != test.wantRetry || gotFail == test.wantRetry {
+				t.Errorf("scope %d, result %d: got actions %v, want a retry only if the request cannot have been executed, otherwise a failure", scope, test.result, actions)
+			}
+		}
+	}
+}
--- a/wire/events.go
+++ b/wire/events.go
@@ -121,6 +121,7 @@
 	request.Group = int(group)
 	request.Object = v.text("File", false)
 	request.Class = int(v.integer("Class", true))
+	request.KeyIssuer = policy.ClientKey // the simulator's events have no keys; all its clients send one where the class needs one
 	return request
 }
 
