policy: a keyed write of the signed front that may have run is not refused

Callers would see: over the front of signed links, a write of a "deduplicated" class with the group "all" gets 503 after two attempts that may have run; sent again with a new token, as the README asks, it runs a second time.

Cause: mayReject held a refusal to be safe wherever all caches drop duplicates together. That is so only if the client's next try has the same key, and a key that the front makes is new with each request.

Change: policy.KeyIssuer has FrontKey beside ClientKey; with the former a refusal needs proof that no attempt ran, and the client gets 502 ("effect unknown") otherwise. The platform's front is unchanged: its clients keep their key over all tries.

Since: go test ./policy ./internal/core ./internal/front/signed passes.

--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -15,7 +15,8 @@
 	SizeKB         float64 // 0: unknown
 	ClientRetry    bool    // the client has marked it as a retry
 	CachedTag      string  // version of the client's own copy; empty: the client has none
-	IdempotencyKey string  // the same for all retries by the client; empty: none
+	IdempotencyKey string  // sent with all attempts; empty: none
+	FrontKey       bool    // the front made IdempotencyKey: retries by the client have another key, otherwise the same
 	Body           []byte  // of a write
 	Deadline       float64 // when the client gives up
 	SendBy         float64 // no attempt is written after this time; 0: no bound
@@ -26,8 +27,11 @@
 
 // keyIssuer returns who chose the request's idempotency key.
 func (r *Request) keyIssuer() policy.KeyIssuer {
-	if r.IdempotencyKey == "" {
+	switch {
+	case r.IdempotencyKey == "":
 		return policy.NoKey
+	case r.FrontKey:
+		return policy.FrontKey
 	}
 	return policy.ClientKey
 }
--- a/internal/front/signed/answer.go
+++ b/internal/front/signed/answer.go
@@ -45,7 +45,7 @@
 	switch {
 	case a.Verdict == core.Served:
 		writeObject(w, a)
-	case a.Verdict == core.Rejected && now >= t.validUntil: // the write was not executed
+	case a.Verdict == core.Rejected && now >= t.validUntil: // the write was not executed, or may be repeated
 		f.writeDenied(w, errExpired)
 	case a.Verdict == core.Rejected:
 		f.writeOverloaded(w, a.RetryAfter)
--- a/internal/front/signed/idempotency_test.go
+++ b/internal/front/signed/idempotency_test.go
@@ -1,6 +1,7 @@
 package signed_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -98,3 +99,14 @@
 		f.serve(attempt)
 	}
 }
+
+// Guards against a 503 after which a client sends a write again that may have run: with its new token it has a new key.
+func TestKeyedWriteThatMayHaveRunIsNotRejected(t *testing.T) {
+	for outcome, wantAnswer := range map[string]string{
+		"crashed":  "502 - upstream failed: effect unknown",
+		"overload": "503 Retry-After:* overloaded",
+	} {
+		f := startFront(t, settingsOf(writeClass, policy.IdempotentByKey), 0)
+		f.run(postWithToken + "{write} seat9" + strings.Repeat(expectWrite+"s send $id "+outcome+"\n", 2) + "c expect " + wantAnswer)
+	}
+}
--- a/internal/front/signed/request.go
+++ b/internal/front/signed/request.go
@@ -60,7 +60,7 @@
 		ID: randomHex(requestIDBytes), Class: class, Object: object, Group: noGroup, Deadline: now + clock.Ms(settings.Deadline),
 	}
 	if settings.Idempotency == policy.IdempotentByKey {
-		p.IdempotencyKey = randomHex(idempotencyKeyBytes)
+		p.IdempotencyKey, p.FrontKey = randomHex(idempotencyKeyBytes), true
 	}
 	if !p.parseOptions(r, now) {
 		return p, false
--- a/policy/events.go
+++ b/policy/events.go
@@ -52,6 +52,7 @@
 const (
 	NoKey     KeyIssuer = iota // the attempts carry no key
 	ClientKey                  // the client: its retries of the request have the same key
+	FrontKey                   // the front: the client's retries of the request have another key
 )
 
 // Request is a client's request, which must get exactly one final answer.
--- a/policy/idempotency_test.go
+++ b/policy/idempotency_test.go
@@ -81,3 +81,33 @@
 		}
 	}
 }
+
+// Guards against a rejection after which the client's retry runs a request again, as the retry has another key.
+func TestRejectionNeedsKeyOfClient(t *testing.T) {
+	for _, test := range []struct {
+		issuer     KeyIssuer
+		scope      DedupScope
+		result     Result
+		wantReject bool
+	}{
+		{ClientKey, DedupAll, Failed, true}, {ClientKey, DedupZone, Failed, false}, {ClientKey, DedupCell, Failed, false},
+		{FrontKey, DedupAll, Failed, false}, {FrontKey, DedupZone, Failed, false}, {FrontKey, DedupCell, Failed, false},
+		{ClientKey, DedupAll, Overloaded, true}, {FrontKey, DedupAll, Overloaded, true}, {NoKey, DedupAll, Overloaded, true},
+	} {
+		settings := testSettings()
+		settings.Classes[0].Idempotency, settings.Classes[0].DedupScope, settings.Classes[0].DedupWindow = IdempotentByKey, test.scope, time.Hour
+		h := startRouter(t, settings, testMembers())
+		request := newRequest("a", "o")
+		request.KeyIssuer = test.issuer
+		actions := h.handle(request)
+		for attempt := range 2 { // as many errors or rejections end a request
+			fetch := h.requireFetch(actions)
+			actions = h.handle(Outcome{ID: "a", Attempt: attempt, Server: fetch.Server, Result: test.result})
+		}
+		_, gotReject := findAction[Reject](actions)
+		_, gotFail := findAction[Fail](actions)
+		if gotReject != test.wantReject || gotFail == test.wantReject {
+			t.Errorf("%+v: got actions %v", test, actions)
+		}
+	}
+}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -218,7 +218,7 @@
 		switch kind := rng.Intn(20); {
 		case kind < 8:
 			e = Request{ID: fmt.Sprint(step), Class: rng.Intn(len(settings.Classes)), Object: fmt.Sprint(rng.Intn(20)),
-				TimeLeft: time.Duration(1+rng.Intn(3000)) * ms, Group: rng.Intn(4), KeyIssuer: KeyIssuer(rng.Intn(2))}
+				TimeLeft: time.Duration(1+rng.Intn(3000)) * ms, Group: rng.Intn(4), KeyIssuer: KeyIssuer(rng.Intn(3))}
 		case kind < 16 && len(open) > 0:
 			i := rng.Intn(len(open))
 			outcome := open[i]
@@ -278,12 +278,13 @@
 	}
 }
 
-// The checker detects a retry and a rejection of a request without a key in a class that is idempotent by key.
+// In a class that is idempotent by key, the checker detects a retry of a request without a key, and a rejection after which the
+// client's retry would not have the same key.
 func TestCheckerDetectsMissingKey(t *testing.T) {
 	settings := testSettings()
 	settings.Classes[0].Idempotency, settings.Classes[0].DedupWindow = IdempotentByKey, time.Minute
 	for _, second := range []Action{Fetch{ID: "a", Server: 2, Source: 11}, Reject{ID: "a"}} {
-		for _, issuer := range []KeyIssuer{NoKey, ClientKey} {
+		for _, issuer := range []KeyIssuer{NoKey, ClientKey, FrontKey} {
 			checker := newRuleChecker(settings)
 			checker.event(0, testMembers())
 			request := newRequest("a", "o")
@@ -293,7 +294,9 @@
 				t.Fatal(err)
 			}
 			checker.event(0, Outcome{ID: "a", Server: 1, Result: Reset})
-			if err := checker.action(0, second); (err != nil) != (issuer == NoKey) {
+			_, isReject := second.(Reject)
+			wantError := issuer == NoKey || isReject && issuer == FrontKey
+			if err := checker.action(0, second); (err != nil) != wantError {
 				t.Errorf("%T of a request with key issuer %d: got error %v", second, issuer, err)
 			}
 		}
