membership: a server that a list no longer names drains, whatever else lists it

Being dropped while ready changed nothing either.

Cause: dropEntry deleted what the source had said, and the board's "ready" was then the only word.

Change: an omitted entry stays and counts as a removal while another source lists the server; once none does, all entries go, as before. Named again within the drain timeout it takes up its work; later it warms up.

--- a/internal/decide/membership/lifecycle.go
+++ b/internal/decide/membership/lifecycle.go
@@ -69,12 +69,10 @@
 // dropAllEntries deletes the entries of a server that all sources listing it have removed. Without this, entries would pile
 // up in memory as a fleet replaces its machines.
 func (t *Table) dropAllEntries(s *server) {
-	for i, entry := range s.entries {
-		if entry != nil {
-			t.dropEntry(i, s.id)
-		}
+	for _, source := range t.sources {
+		delete(source.listed, s.id)
 	}
-	delete(t.dirty, s.id)
+	clear(s.entries)
 }
 
 // reconcileReady makes a server ready, or keeps it joining while its address is reserved for another server. Servers of an
--- a/internal/decide/membership/source.go
+++ b/internal/decide/membership/source.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"ravenwheel/policy"
 )
@@ -24,6 +25,7 @@
 	reported      Entry // as the source sent it; in Entry, Started may be an estimate of the table
 	warmUpOnReady bool  // the server starts warming up when it next becomes ready
 	wanted        bool  // the state is not Gone
+	omitted       bool  // a later list of the source no longer names the server, which counts as removed
 }
 
 // list is a snapshot or a delta of one source.
@@ -72,7 +74,7 @@
 	}
 	for id := range src.listed {
 		if !listed[id] {
-			t.dropEntry(l.source, id)
+			t.omitEntry(l.source, id)
 		}
 	}
 }
@@ -121,7 +123,7 @@
 		s = t.newServer(e.ID)
 	}
 	previous := s.entries[i]
-	if previous != nil && previous.reported == e {
+	if previous != nil && !previous.omitted && previous.reported == e {
 		return
 	}
 	entry := &sourceEntry{Entry: e, reported: e, wanted: e.State != policy.Gone}
@@ -138,7 +140,13 @@
 // source's first list are running already. A server that is ready again after a drain counts as restarted.
 func (t *Table) estimateStart(s *server, entry, previous *sourceEntry, isFirstList bool) {
 	inUseHere := s.phase == Ready || s.phase == Draining && !s.restored
+	wasOmitted, startBefore := false, policy.Time(0)
+	if previous != nil && previous.omitted {
+		wasOmitted, startBefore, previous = true, previous.Started, nil
+	}
 	switch {
+	case wasOmitted && t.now >= s.since+t.settings.DrainTimeout && !entry.Warm:
+		entry.warmUpOnReady = true // without another source that lists the server, it would be gone by now
 	case previous != nil && previous.State == policy.Draining && entry.State == policy.Ready && !entry.Warm:
 		entry.warmUpOnReady = true
 	case previous != nil && previous.Addr != entry.Addr && !entry.Warm: // a new address means another process
@@ -146,7 +154,7 @@
 	case previous != nil:
 		entry.Started, entry.warmUpOnReady = previous.Started, previous.warmUpOnReady
 	case entry.Warm || isFirstList && !t.restoreCalled || inUseHere && s.current.Addr == entry.Addr:
-		entry.Started = s.current.Started
+		entry.Started = max(s.current.Started, startBefore)
 	case s.phase == None && t.inUseBeforeRestart[entry.ID].Addr == entry.Addr:
 		entry.Started = t.inUseBeforeRestart[entry.ID].Started
 	default:
@@ -154,15 +162,29 @@
 	}
 }
 
-// dropEntry records that a source no longer lists a server.
-func (t *Table) dropEntry(i int, id policy.ServerID) {
+// omitEntry records that a list of a source no longer names a server, which means that the server is removed. While another
+// source lists the server, the removal is kept as an entry, since the drain that it starts must not end with that source's word.
+// Once no source lists the server, all its entries are deleted.
+func (t *Table) omitEntry(i int, id policy.ServerID) {
 	delete(t.sources[i].listed, id)
-	if s := t.servers[id]; s != nil {
-		s.entries[i] = nil
-		t.markDirty(id)
+	s := t.servers[id]
+	if s == nil {
+		return
+	}
+	t.markDirty(id)
+	if entry := s.entries[i]; entry != nil {
+		entry.omitted = true
+	}
+	if !s.isListed() {
+		clear(s.entries)
 	}
 }
 
+// isListed reports whether the list of any source names the server, in whatever state.
+func (s *server) isListed() bool {
+	return slices.ContainsFunc(s.entries, func(e *sourceEntry) bool { return e != nil && !e.omitted })
+}
+
 // mergedState is the state of a server that results from all sources and from operators' drains.
 type mergedState struct {
 	factsSource int          // the source whose facts apply; -1: none lists the server
@@ -172,15 +194,19 @@
 
 // merge decides which state applies to a server, and which source's facts (address, weight, start). The facts come from the
 // first source, by precedence, that wants the server. A drain or a removal applies whichever source reports it: once any
-// source says so, the server must get no new requests. A server that one source has removed drains while another source
-// still lists it.
+// source says so, the server must get no new requests. A server that one source has removed, by name or by a list that no
+// longer names it, drains while another source still lists it.
 func (s *server) merge() mergedState {
 	merged := mergedState{factsSource: -1, stateSource: -1}
-	leastRestrictive := policy.Gone
+	leastRestrictive, omittedBy := policy.Gone, -1
 	for i, entry := range s.entries {
 		if entry == nil {
 			continue
 		}
+		if entry.omitted {
+			omittedBy = i
+			continue
+		}
 		if merged.factsSource < 0 || !s.entries[merged.factsSource].wanted && entry.wanted {
 			merged.factsSource = i
 		}
@@ -194,6 +220,8 @@
 		merged.state = policy.Gone
 	case merged.state == policy.Gone && leastRestrictive != policy.Gone:
 		merged.state = policy.Draining
+	case omittedBy >= 0 && merged.state == policy.Ready:
+		merged.state, merged.stateSource = policy.Draining, omittedBy
 	case s.manualDrain && merged.state == policy.Ready:
 		merged.state, merged.stateSource = policy.Draining, -1
 	}
