applier: a queue without a bound between the store and what applies its changes

Cause: joining returns once the log is applied, applying waited for room among 1,024 queued changes, and their reader starts after joining.

Change: applier.Queue in place of the channel; Push never blocks. Subscribers of distributors use it too, so that a failed start needs no channel of its own to release them.

TestClosedSubscriberReleasesDistributor changed with the type: 5,000 changes that nobody receives, none may block (before: one).

--- a/cmd/ravenwheel/distribution_test.go
+++ b/cmd/ravenwheel/distribution_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ravenwheel/internal/admin"
+	"ravenwheel/internal/applier"
 	"ravenwheel/internal/decide/storestate"
 	"ravenwheel/internal/distribution"
 	"ravenwheel/internal/state"
@@ -271,21 +272,22 @@
 
 // After a failed start, a distributor's change does not block. Of several revisions that wait, the newest is kept.
 func TestClosedSubscriberReleasesDistributor(t *testing.T) {
-	s := sharedState{changes: make(chan storestate.Change, 1)}
+	s := sharedState{changes: applier.NewQueue()}
 	var o distribution.Options
 	s.subscribe(&o)
-	o.ApplyChange(storestate.Change{Name: "first"})
+	const changes = 5000
 	sent := make(chan struct{})
 	go func() {
-		o.ApplyChange(storestate.Change{Name: "second"})
+		for range changes {
+			o.ApplyChange(storestate.Change{Kind: storestate.AddPurge, Purge: &storestate.Purge{}})
+		}
 		close(sent)
 	}()
 	o.ApplyRevision(storestate.Revision{Number: 1})
 	o.ApplyRevision(storestate.Revision{Number: 2})
 	require.Equal(t, uint64(2), (<-s.revisions).Number)
-	s.close()
 	<-sent
-	require.Equal(t, "first", (<-s.changes).Name)
+	s.close()
 }
 
 // The commands describe a stream's source and lag.
--- a/cmd/ravenwheel/shared_state.go
+++ b/cmd/ravenwheel/shared_state.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 
+	"ravenwheel/internal/applier"
 	"ravenwheel/internal/config"
 	decider "ravenwheel/internal/decide/distribution"
 	"ravenwheel/internal/decide/storestate"
@@ -10,17 +11,13 @@
 	"ravenwheel/internal/store"
 )
 
-// maxQueuedChanges is how many changes may wait while this proxy starts. When that many wait, the store or the distributor blocks.
-const maxQueuedChanges = 1024
-
 // sharedState is the state that this process shares with others, as a member of the store or through distributors. The zero value
 // is that of a process that shares none.
 type sharedState struct {
 	store     *store.Store               // nil: not configured
 	node      *distribution.Node         // nil: not in a tree of distributors
-	changes   chan storestate.Change     // in the order of the store; nil: none arrive
+	changes   *applier.Queue             // in the order of the store; nil: none arrive
 	revisions <-chan storestate.Revision // of the configuration; nil: none arrive
-	abandoned chan struct{}              // closed once changes of distributors are no longer received; nil: no distributors
 }
 
 // isMember reports whether the process is a member of the store.
@@ -44,8 +41,8 @@
 	var onChange func(storestate.Change)
 	if file.Store.Name != "" || file.Distribution != nil {
 		// This precedes the opening of the store, because changes that the store applies while this proxy starts must not be lost.
-		changes := make(chan storestate.Change, maxQueuedChanges)
-		s.changes, onChange = changes, func(c storestate.Change) { changes <- c }
+		s.changes = applier.NewQueue()
+		onChange = s.changes.Push
 	}
 	if file.Store.Name != "" || file.Signed != nil {
 		if s.store, err = file.Store.Open(env.clock, onChange); err != nil {
@@ -71,18 +68,12 @@
 	return s, err
 }
 
-// subscribe sends changes and revisions of distributors to the channels that a member uses. After a failed start nothing receives
-// from the channels: changes and revisions are dropped then, so that the node can end.
+// subscribe sends changes and revisions of distributors to where those of the store go in a member. Neither blocks, so that the node
+// can end after a failed start, when nothing receives them.
 func (s *sharedState) subscribe(options *distribution.Options) {
-	changes, abandoned := s.changes, make(chan struct{})
 	revisions := make(chan storestate.Revision, 1)
-	s.abandoned, s.revisions = abandoned, revisions
-	options.ApplyChange = func(c storestate.Change) {
-		select {
-		case changes <- c:
-		case <-abandoned:
-		}
-	}
+	s.revisions = revisions
+	options.ApplyChange = s.changes.Push
 	// Only the newest revision counts. As only one goroutine sends, there is room once the older revision is removed.
 	options.ApplyRevision = func(r storestate.Revision) {
 		select {
@@ -94,15 +85,15 @@
 }
 
 func (s sharedState) close() {
-	if s.abandoned != nil {
-		close(s.abandoned)
-	}
 	if s.node != nil {
 		s.node.Close()
 	}
 	if s.store != nil {
 		_ = s.store.Close()
 	}
+	if s.changes != nil {
+		s.changes.Close()
+	}
 }
 
 // distributionOptions returns the options of a node, with its listener open.
--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -36,10 +36,13 @@
 	Recorder    Recorder                                          // nil: nothing is recorded
 }
 
-// Run applies changes until the channel is closed.
-func (a *Applier) Run(changes <-chan storestate.Change) {
-	for c := range changes {
-		a.Apply(c)
+// Run applies the changes of a queue until it is closed.
+func (a *Applier) Run(queue *Queue) {
+	for changes, ok := queue.take(); ok; changes, ok = queue.take() {
+		for _, c := range changes {
+			a.Apply(c)
+		}
+		queue.recordApplied(len(changes))
 	}
 }
 
--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -61,7 +61,7 @@
 // and other changes are ignored.
 func TestRunAppliesEachChangeOnceInOrder(t *testing.T) {
 	e := &effects{}
-	changes := make(chan storestate.Change, 8)
+	changes := applier.NewQueue()
 	for _, c := range []storestate.Change{
 		{Kind: storestate.SetList, List: &storestate.List{Generation: 3, Servers: []serverlist.Server{{ID: 1, Zone: "here"}}}},
 		{Kind: storestate.StartDrain, Name: serverlist.FormatID(1)}, {Kind: storestate.EndDrain, Name: serverlist.FormatID(1)},
@@ -69,9 +69,9 @@
 		{Kind: storestate.AddPurge, Purge: &storestate.Purge{Object: "o", IssuedAt: 10}},
 		{Kind: storestate.AddPurge, Purge: &storestate.Purge{Group: 4, IssuedAt: 11}},
 	} {
-		changes <- c
+		changes.Push(c)
 	}
-	close(changes)
+	changes.Close()
 	newApplier(e).Run(changes)
 	entry := membership.Entry{}
 	entry.ID = 1
