Drain: in force at this member of the store before the yes, whatever the log still brings

Cause: Drain returned once the leader had committed the change, and this member applies it when the log arrives. Evidence: with nothing applying the changes, Drain returns without error while the registry has the server ready.

Change: the drain is put in force here first, as a purge is.

--- a/cmd/ravenwheel/operations.go
+++ b/cmd/ravenwheel/operations.go
@@ -10,6 +10,7 @@
 	"ravenwheel/internal/decide/recovery"
 	"ravenwheel/internal/decide/serverlist"
 	"ravenwheel/internal/decide/storestate"
+	"ravenwheel/internal/store"
 	"ravenwheel/policy"
 )
 
@@ -60,19 +61,30 @@
 // IsKnown implements control.Servers.
 func (s *serverSources) IsKnown(id policy.ServerID) bool { return s.registry.IsKnown(id) }
 
-// Drain implements admin.Operations.
+// Drain implements admin.Operations. In a member of the store, a drain that starts is in force here before the store records it; the
+// end of a drain is in force once this member has applied the store's change.
 func (s *serverSources) Drain(id policy.ServerID, on bool) error {
 	switch {
 	case s.isSubscriber():
 		return admin.ErrNotMember
 	case !s.isMember():
 		return s.setManualDrain(id, on)
+	case on:
+		return s.startDrain(id)
 	}
-	kind := storestate.EndDrain
-	if on {
-		kind = storestate.StartDrain
+	_, err := s.shared.store.Propose(storestate.Change{Kind: storestate.EndDrain, Name: serverlist.FormatID(id)})
+	return err
+}
+
+// startDrain starts a drain in this member, and then in the store. If the store does not accept it, it stays in force here.
+func (s *serverSources) startDrain(id policy.ServerID) error {
+	change := storestate.Change{ID: store.NewChangeID(), Kind: storestate.StartDrain, Name: serverlist.FormatID(id)}
+	s.shared.drains.Begin(change.Name, change.ID)
+	_ = s.setManualDrain(id, true) // the store holds the drain, and the recorder logs its own errors
+	_, err := s.shared.store.Propose(change)
+	if err != nil {
+		s.shared.drains.Forget(change.Name, change.ID)
 	}
-	_, err := s.shared.store.Propose(storestate.Change{Kind: kind, Name: serverlist.FormatID(id)})
 	return err
 }
 
--- a/cmd/ravenwheel/shared_state.go
+++ b/cmd/ravenwheel/shared_state.go
@@ -17,6 +17,7 @@
 	store     *store.Store               // nil: not configured
 	node      *distribution.Node         // nil: not in a tree of distributors
 	changes   *applier.Queue             // in the order of the store; nil: none arrive
+	drains    *applier.LocalDrains       // drains that operators start at this process; nil if changes is nil
 	revisions <-chan storestate.Revision // of the configuration; nil: none arrive
 }
 
@@ -42,13 +43,17 @@
 	if file.Store.Name != "" || file.Distribution != nil {
 		// This precedes the opening of the store, because changes that the store applies while this proxy starts must not be lost.
 		s.changes = applier.NewQueue()
-		onChange = s.changes.Push
+		s.drains = applier.NewLocalDrains(s.changes)
+		onChange = s.drains.Push
 	}
 	if file.Store.Name != "" || file.Signed != nil {
 		if s.store, err = file.Store.Open(env.clock, onChange); err != nil {
 			return s, err
 		}
 		s.revisions = s.store.Watch()
+		if s.drains != nil {
+			s.store.Observe(s.drains)
+		}
 	}
 	if file.Distribution == nil {
 		return s, nil
--- a/internal/store/propose.go
+++ b/internal/store/propose.go
@@ -71,7 +71,7 @@
 // result's verdict (ErrTokenRedeemed, ErrConflict, ErrStale or ErrInvalid), ErrUnavailable or ErrOutcomeUnknown.
 func (s *Store) Propose(c storestate.Change) (storestate.Result, error) {
 	if c.ID == "" {
-		c.ID = newChangeID()
+		c.ID = NewChangeID()
 	}
 	c.ProposedAt = s.opt.Clock.Now()
 	raw, err := storestate.Encode(c)
@@ -104,7 +104,8 @@
 	}
 }
 
-func newChangeID() string {
+// NewChangeID returns a new id for a change.
+func NewChangeID() string {
 	var b [16]byte
 	_, _ = rand.Read(b[:])
 	return hex.EncodeToString(b[:])
