membership: the latest start that any source reports counts

Cause: all facts, the start among them, were the list's entry's, which has none. Evidence: the table alone publishes the server as ready without a start (testdata/sources.txt); with the board alone the same restart ramps.

Change: reconcileReady publishes the latest start that any source reports. A list's "warm" outweighs starts from before it alone.

--- a/internal/decide/membership/lifecycle.go
+++ b/internal/decide/membership/lifecycle.go
@@ -88,7 +88,9 @@
 	if entry.warmUpOnReady && (s.phase != Ready || s.current.Addr != entry.Addr) {
 		entry.Started = fromMs(t.now)
 	}
-	t.transition(s, Ready, entry.Member, reason)
+	m := entry.Member
+	m.Started = s.latestStart(entry)
+	t.transition(s, Ready, m, reason)
 }
 
 // waitForAddress keeps a server joining while the address listed for it is reserved for another one. After DrainTimeout the
--- a/internal/decide/membership/source.go
+++ b/internal/decide/membership/source.go
@@ -22,10 +22,11 @@
 // sourceEntry is the entry of one server in the list of one source, as the table uses it.
 type sourceEntry struct {
 	Entry
-	reported      Entry // as the source sent it; in Entry, Started may be an estimate of the table
-	warmUpOnReady bool  // the server starts warming up when it next becomes ready
-	wanted        bool  // the state is not Gone
-	omitted       bool  // a later list of the source no longer names the server, which counts as removed
+	reported      Entry   // as the source sent it; in Entry, Started may be an estimate of the table
+	warmUpOnReady bool    // the server starts warming up when it next becomes ready
+	wanted        bool    // the state is not Gone
+	omitted       bool    // a later list of the source no longer names the server, which counts as removed
+	listedAt      float64 // when the source sent it, ms
 }
 
 // list is a snapshot or a delta of one source.
@@ -126,7 +127,7 @@
 	if previous != nil && !previous.omitted && previous.reported == e {
 		return
 	}
-	entry := &sourceEntry{Entry: e, reported: e, wanted: e.State != policy.Gone}
+	entry := &sourceEntry{Entry: e, reported: e, wanted: e.State != policy.Gone, listedAt: t.now}
 	if !t.sources[i].Immediate && e.Started == 0 {
 		t.estimateStart(s, entry, previous, isFirstList)
 	}
@@ -185,6 +186,20 @@
 	return slices.ContainsFunc(s.entries, func(e *sourceEntry) bool { return e != nil && !e.omitted })
 }
 
+// latestStart returns the latest start of a server that counts where an entry gives its facts: the entry's, or one that another
+// source reports, since a process that was started has an empty cache whoever says so. If the entry says that the server is
+// warm, that holds for starts from before the entry.
+func (s *server) latestStart(facts *sourceEntry) policy.Time {
+	started := facts.Started
+	for _, entry := range s.entries {
+		if entry == nil || entry.omitted || facts.Warm && toMs(entry.reported.Started) <= facts.listedAt {
+			continue
+		}
+		started = max(started, entry.reported.Started)
+	}
+	return started
+}
+
 // mergedState is the state of a server that results from all sources and from operators' drains.
 type mergedState struct {
 	factsSource int          // the source whose facts apply; -1: none lists the server
@@ -192,8 +207,8 @@
 	stateSource int          // the source that set state; -1: an operator did, or no source lists the server
 }
 
-// merge decides which state applies to a server, and which source's facts (address, weight, start). The facts come from the
-// first source, by precedence, that wants the server. A drain or a removal applies whichever source reports it: once any
+// merge decides which state applies to a server, and which source's facts (address, weight). The facts come from the first source,
+// by precedence, that wants the server; for its start see latestStart. A drain or a removal applies whichever source reports it: once any
 // source says so, the server must get no new requests. A server that one source has removed, by name or by a list that no
 // longer names it, drains while another source still lists it.
 func (s *server) merge() mergedState {
