Store: a member that returns gets the log at once, and serves only then

Cause, in two parts: raft's leader pauses for up to 10.24 s after failed calls to a member, and a start did not wait for the log. Evidence: without the pause the log comes within 0.25 s; without the wait a process whose quorum is missing is ready at once.

Change: the leader's transport goes on dialling a member every 0.1 s in place of failing. A member takes the clients' address once it has applied what the store had committed when it asked; without a quorum after 5 s, with a warning.

Before: TestReturningMemberCatchesUpAtOnce failed on the parent's transport, TestMemberWithoutQuorumWaitsBeforeItServes without the wait, TestReturningMemberServesOnlyOnceCaughtUp with neither.

--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -69,6 +69,9 @@
 	}
 	defer sources.close()
 	go sources.followReloads(reload) // before the process owns the address, as discovery may move meanwhile
+	if shared.isMember(env.file) && !shared.awaitCatchUp(ctx) {
+		env.log.Warn("store").Msg("not caught up with the store; serving with the state of this member")
+	}
 	ln, err := owner.listen(env.conf, proxy)
 	if err != nil {
 		return ignoreShutdown(err)
--- a/cmd/ravenwheel/shared_state.go
+++ b/cmd/ravenwheel/shared_state.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"context"
 	"net"
+	"time"
 
 	"ravenwheel/internal/applier"
 	"ravenwheel/internal/config"
@@ -89,6 +91,37 @@
 	}
 }
 
+const (
+	// catchUpTimeout is how long a start waits for the store. Without a quorum the proxy then serves with the state that it has.
+	catchUpTimeout = 5 * time.Second
+	// catchUpRetryDelay is the pause after a failed read, which fails at once while no leader is known.
+	catchUpRetryDelay = 20 * time.Millisecond
+)
+
+// awaitCatchUp waits until this member has put in force what the store had accepted by now: drains, lists, purges and keys, so that
+// no request is served without them. It reports whether that is so; it gives up after catchUpTimeout, or when ctx ends.
+func (s sharedState) awaitCatchUp(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	caughtUp := make(chan struct{})
+	go func() {
+		for ctx.Err() == nil {
+			if _, _, err := s.store.ReadIndex(); err == nil {
+				s.changes.AwaitApplied()
+				close(caughtUp)
+				return
+			}
+			time.Sleep(catchUpRetryDelay)
+		}
+	}()
+	select {
+	case <-caughtUp:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 func (s sharedState) close() {
 	if s.node != nil {
 		s.node.Close()
--- a/internal/scenario/client.go
+++ b/internal/scenario/client.go
@@ -15,11 +15,20 @@
 
 // Dial connects a client to a front.
 func Dial(t *testing.T, addr string) *Client {
-	conn, err := net.Dial("tcp", addr)
+	c, err := TryDial(addr)
 	require.NoError(t, err)
+	return c
+}
+
+// TryDial is Dial for an address at which nothing may listen.
+func TryDial(addr string) (*Client, error) {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
 	c := &Client{conn, newInbox()}
 	go c.inbox.readFrames(conn)
-	return c
+	return c, nil
 }
 
 // Send writes the words as one frame, or their bytes; see encode.
--- a/internal/store/raft.go
+++ b/internal/store/raft.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -58,6 +59,8 @@
 	if s.raft, err = raft.NewRaft(conf, s.fsm, storage.logs, storage.stable, storage.snapshots, network); err != nil {
 		return err
 	}
+	isAwaited := s.isAwaited
+	s.transport.isAwaited.Store(&isAwaited)
 	go s.transport.run()
 	if !hasState && s.opt.Join != "" {
 		return s.join()
@@ -159,6 +162,12 @@
 	return fmt.Errorf("join the cluster through the member at %s: %w", s.opt.Join, err)
 }
 
+// isAwaited reports whether this member, as the leader, has entries to send to the member at an address.
+func (s *Store) isAwaited(addr string) bool {
+	isAtAddr := func(server raft.Server) bool { return string(server.Address) == addr }
+	return s.IsLeader() && slices.ContainsFunc(s.servers(), isAtAddr)
+}
+
 func (s *Store) voterCount() (n int) {
 	for _, server := range s.servers() {
 		if server.Suffrage == raft.Voter {
--- a/internal/store/transport.go
+++ b/internal/store/transport.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
@@ -16,6 +17,8 @@
 	handshakeTimeout = 5 * time.Second
 	// maxConns is how many connections a store's address accepts at once.
 	maxConns = 256
+	// redialInterval is the pause between two attempts to reach an awaited member.
+	redialInterval = 100 * time.Millisecond
 	// callIdleTimeout is how long a connection for calls may be idle before it is closed.
 	callIdleTimeout = time.Minute
 )
@@ -30,6 +33,8 @@
 	raftConns  chan net.Conn // raft's streams, until Accept returns them
 	maxConns   int
 	done       chan struct{} // closed by Close
+	// isAwaited reports whether the member at an address is dialled until it can be reached. It holds nil until raft runs.
+	isAwaited atomic.Pointer[func(addr string) bool]
 
 	mu       sync.Mutex
 	conns    map[net.Conn]struct{}
@@ -192,13 +197,24 @@
 	}
 }
 
-// Dial implements raft.StreamLayer.
+// Dial implements raft.StreamLayer. While the member at the address is awaited, it does not fail but goes on dialling: after some
+// failed calls to a member, raft's leader would not call it again for up to ten seconds, however soon the member is back.
 func (t *transport) Dial(addr raft.ServerAddress, timeout time.Duration) (net.Conn, error) {
-	conn, err := t.connect(string(addr), connRaft, timeout)
-	if err != nil {
-		return nil, err // an interface that holds a nil *tls.Conn would not be nil
+	for {
+		conn, err := t.connect(string(addr), connRaft, timeout)
+		if err == nil {
+			return conn, nil
+		}
+		isAwaited := t.isAwaited.Load()
+		if isAwaited == nil || !(*isAwaited)(string(addr)) {
+			return nil, err // an interface that holds a nil *tls.Conn would not be nil
+		}
+		select {
+		case <-time.After(redialInterval):
+		case <-t.done:
+			return nil, err
+		}
 	}
-	return conn, nil
 }
 
 // Addr implements raft.StreamLayer.
