Restart: the recorded list of the store is in force before the first request

Cause: the list is recorded and was never read back; until the store's log came, the notice board's "ready" was the only word. Evidence: a start on the same state, with a store that has no list yet, shows the server ready, and the mended start finds the list there.

Change: restore puts the recorded list in force by the store's own applier, which then ignores lists up to it.

--- a/cmd/ravenwheel/sources.go
+++ b/cmd/ravenwheel/sources.go
@@ -24,6 +24,7 @@
 	core      *core.Core
 	shared    sharedState
 	registry  *registry.Registry
+	applier   *applier.Applier        // of the store's changes; nil: there is no store
 	discovery *discoveryclient.Client // nil: none
 	list      *filewatch.Watcher      // nil: no list is watched
 	state     *state.Recorder         // nil: nothing survives a restart
@@ -74,7 +75,10 @@
 	if s.registry, err = registry.New(s.registryOptions(settings)); err != nil {
 		return s, err
 	}
-	restored := s.restore(plan, ranks.list)
+	if ranks.store != noSource {
+		s.applier = s.newApplier(ranks.store)
+	}
+	restored := s.restore(plan, ranks)
 	if options.owner != nil && options.owner.handover != nil {
 		s.followHandover(options.owner)
 	}
@@ -92,9 +96,9 @@
 			return s, err
 		}
 	}
-	if ranks.store != noSource {
+	if s.applier != nil {
 		// This follows the restored state, so that a drain that the store has ended meanwhile ends here too.
-		go s.newApplier(ranks.store).Run(shared.changes)
+		go s.applier.Run(shared.changes)
 	}
 	if s.discovery != nil {
 		go s.discovery.Run(context.Background()) // until the process has ended: it continues while the process drains
--- a/cmd/ravenwheel/state_recovery.go
+++ b/cmd/ravenwheel/state_recovery.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 
+	"ravenwheel/internal/applier"
 	"ravenwheel/internal/clock"
 	"ravenwheel/internal/core"
 	"ravenwheel/internal/decide/membership"
 	"ravenwheel/internal/decide/recovery"
 	"ravenwheel/internal/decide/serverlist"
+	"ravenwheel/internal/decide/storestate"
 	"ravenwheel/internal/state"
 	"ravenwheel/policy"
 )
@@ -46,8 +48,8 @@
 }
 
 // restore applies the recovered state, before any source is followed and before the first request. It returns the watched list that
-// was recorded, or nil if there is none. listRank is the list's rank among the sources.
-func (s *serverSources) restore(plan recovery.Plan, listRank int) (recorded *serverlist.List) {
+// was recorded, or nil if there is none. The store's list is in force again when it returns.
+func (s *serverSources) restore(plan recovery.Plan, ranks sourceRanks) (recorded *serverlist.List) {
 	for _, purge := range plan.Purges {
 		group := purge.Group
 		if purge.Object != "" {
@@ -58,10 +60,17 @@
 	if plan.Boots > 0 { // otherwise nothing is recorded, which does not mean that every server is new
 		minGenerations := map[int]uint64{}
 		if list, ok := plan.List(listSource); ok {
-			minGenerations[listRank] = list.Generation
+			minGenerations[ranks.list] = list.Generation
 			recorded = serverlist.NewList(list.Generation, list.Servers)
 		}
+		storeList, hasStoreList := plan.List(applier.ListSource)
+		if hasStoreList {
+			minGenerations[ranks.store] = storeList.Generation
+		}
 		s.registry.Restore(plan.Members, minGenerations)
+		if hasStoreList && s.applier != nil {
+			s.applier.RestoreList(&storestate.List{Generation: storeList.Generation, Servers: storeList.Servers})
+		}
 	}
 	for _, id := range plan.ManualDrains {
 		s.registry.Handle(membership.ManualDrain{ID: policy.ServerID(id), On: true})
--- a/internal/applier/applier.go
+++ b/internal/applier/applier.go
@@ -34,6 +34,8 @@
 	SetDrain    func(server policy.ServerID, draining bool) error // starts or ends a drain in the registry, and records it
 	HandlePurge func(core.Purge)                                  // passes a purge to the request path
 	Recorder    Recorder                                          // nil: nothing is recorded
+
+	restoredGeneration uint64 // of the list from before a restart; 0: none
 }
 
 // Run applies the changes of a queue until it is closed.
@@ -61,9 +63,19 @@
 	}
 }
 
+// RestoreList puts the list into effect that was recorded before a restart, before Run is called. The store's lists up to it, which
+// this process receives again, are then ignored.
+func (a *Applier) RestoreList(l *storestate.List) {
+	a.applyList(l)
+	a.restoredGeneration = l.Generation
+}
+
 // applyList puts a list into effect, unless one of its servers has a zone or kind that this site does not have. The list is
 // recorded before it takes effect, see state.Recorder.RecordList.
 func (a *Applier) applyList(l *storestate.List) {
+	if l.Generation <= a.restoredGeneration {
+		return
+	}
 	list := serverlist.NewList(l.Generation, l.Servers)
 	entries := a.ListEntries(list)
 	if !a.zonesAndKindsKnown(list, entries) {
--- a/internal/applier/applier_test.go
+++ b/internal/applier/applier_test.go
@@ -100,3 +100,20 @@
 	a.Apply(storestate.Change{Kind: storestate.AddPurge, Purge: &storestate.Purge{Object: "o", IssuedAt: 10}})
 	require.Equal(t, []any{core.Purge{Object: "o", Group: -1, At: 10}}, e.all)
 }
+
+// The list from before a restart is in effect at once. The store sends it and its predecessors again, which changes nothing.
+func TestRestoredListIsNotReplacedByEarlierOnes(t *testing.T) {
+	e := &effects{}
+	a := newApplier(e)
+	list := func(generation uint64) *storestate.List {
+		return &storestate.List{Generation: generation, Servers: []serverlist.Server{{ID: 1, Zone: "here"}}}
+	}
+	a.RestoreList(list(3))
+	require.Len(t, e.all, 2, "recorded, and in effect")
+	for _, generation := range []uint64{2, 3} {
+		a.Apply(storestate.Change{Kind: storestate.SetList, List: list(generation)})
+	}
+	require.Len(t, e.all, 2)
+	a.Apply(storestate.Change{Kind: storestate.SetList, List: list(4)})
+	require.Len(t, e.all, 4)
+}
