Signed front: a bound on connections, at which silent ones make room

Cause: the HTTP server bounds the time of a silent client, not the number of connections, and the front had no share in the division of the descriptors.

Change: an eighth of the descriptors for this front, where it is on, out of those for servers; connLimiter keeps it and evicts as the platform's front does, never a connection with an open request.

--- a/cmd/ravenwheel/serve.go
+++ b/cmd/ravenwheel/serve.go
@@ -110,6 +110,8 @@
 	// lingeringSocketsDivisor is the divisor for client connections that are being closed: front/resp lets one linger for every
 	// eight client connections.
 	lingeringSocketsDivisor = 16
+	// signedSocketsDivisor is the divisor for connections of clients with signed links, where that front is on.
+	signedSocketsDivisor = 8
 	// reservedSockets are the descriptors for listeners, discovery, the console and the runtime.
 	reservedSockets = 32
 	// minServerConns is the lower bound of maxServerConns.
@@ -118,9 +120,12 @@
 	minConnsPerServer, maxConnsPerServer, connsPerServerDivisor = 4, 8, 32
 )
 
-// maxServerConns is how many connections there may be to all servers together.
-func maxServerConns(sockets int) int {
+// maxServerConns is how many connections there may be to all servers together. signed is whether the front of signed links is on.
+func maxServerConns(sockets int, signed bool) int {
 	clients := sockets/clientSocketsDivisor + sockets/lingeringSocketsDivisor
+	if signed {
+		clients += sockets / signedSocketsDivisor
+	}
 	return max(minServerConns, sockets-clients-reservedSockets)
 }
 
@@ -132,7 +137,7 @@
 		ConnsPerServer:  min(maxConnsPerServer, max(minConnsPerServer, conf.Sockets/connsPerServerDivisor)),
 		ConnectTimeout:  conf.ConnectTimeoutMs,
 		IdleTimeout:     conf.IdleTimeoutMs,
-		MaxConns:        maxServerConns(conf.Sockets),
+		MaxConns:        maxServerConns(conf.Sockets, env.file.Signed != nil),
 		RequestLifetime: clock.Ms(maxRequestLifetime(conf)),
 	})
 	proxy, err := core.New(conf.Settings, conf.Classes, conf.MaxOpenRequests, conf.Seed, env.clock, pools)
--- a/cmd/ravenwheel/services.go
+++ b/cmd/ravenwheel/services.go
@@ -75,7 +75,8 @@
 		return nil, err
 	}
 	front := signed.New(signed.Options{
-		Audience: options.Audience, Leeway: options.LeewayMs, Clock: env.clock, Store: tokenStore, Core: proxy, Log: env.log,
+		Audience: options.Audience, Leeway: options.LeewayMs, Clock: env.clock, Store: tokenStore, Core: proxy,
+		MaxConns: env.conf.Sockets / signedSocketsDivisor, Log: env.log,
 	})
 	go func() {
 		if err := front.Serve(transient.KeepAccepting(ln)); err != nil {
--- a/internal/front/signed/front.go
+++ b/internal/front/signed/front.go
@@ -35,6 +35,7 @@
 	Clock    *clock.Clock
 	Store    *store.Store // holds signing keys, revocations and redeemed tokens
 	Core     RequestHandler
+	MaxConns int       // limit of connections; 0: there is none
 	Log      *logs.Log // for errors of the HTTP server; nil: they are not logged
 }
 
@@ -64,6 +65,7 @@
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         newConnLimiter(o.MaxConns).track,
 	}
 	return f
 }
--- a/internal/front/signed/front_test.go
+++ b/internal/front/signed/front_test.go
@@ -190,7 +190,14 @@
 }
 
 func runScenario(t *testing.T, issuerAhead float64, script string) {
-	startFront(t, scenario.Settings(), issuerAhead).run(script)
+	startFront(t, frontSetup{settings: scenario.Settings(), issuerAhead: issuerAhead}).run(script)
+}
+
+// frontSetup is what a front of the tests is started with.
+type frontSetup struct {
+	settings    policy.Settings
+	issuerAhead float64 // ms by which the issuer's clock is ahead of the front's
+	maxConns    int     // 0: unlimited
 }
 
 // frontFixture is a front with its core, its store and the actors of scenarios.
@@ -201,9 +208,9 @@
 	actors map[string]scenario.Actor
 }
 
-// startFront starts a front that runs until the test ends. The issuer's clock is ahead of the front's by issuerAhead ms.
-func startFront(t *testing.T, settings policy.Settings, issuerAhead float64) *frontFixture {
-	p := scenario.NewProxyWithSettings(t, settings)
+// startFront starts a front that runs until the test ends.
+func startFront(t *testing.T, setup frontSetup) *frontFixture {
+	p := scenario.NewProxyWithSettings(t, setup.settings)
 	st, err := store.Open(store.Options{Clock: p.Clock, Timeout: time.Second})
 	require.NoError(t, err)
 	closed := false
@@ -223,7 +230,7 @@
 
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	f := signed.New(signed.Options{Audience: "tabletop", Leeway: leeway, Clock: p.Clock, Store: st, Core: p.Core})
+	f := signed.New(signed.Options{Audience: "tabletop", Leeway: leeway, Clock: p.Clock, Store: st, Core: p.Core, MaxConns: setup.maxConns})
 	go func() { _ = f.Serve(ln) }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -233,7 +240,7 @@
 	base := (&url.URL{Scheme: "http", Host: ln.Addr().String()}).String()
 	return &frontFixture{
 		t: t, proxy: p,
-		signer: signer{t: t, base: base, now: (p.Clock.Now() + issuerAhead) / 1000, serverNow: p.Clock.Now() / 1000, key: key},
+		signer: signer{t: t, base: base, now: (p.Clock.Now() + setup.issuerAhead) / 1000, serverNow: p.Clock.Now() / 1000, key: key},
 		actors: map[string]scenario.Actor{
 			"c": scenario.NewHTTPClient(base), "s": p.Cache, "delete-key": operation(st.DeleteKey), "store": operation(closeStore),
 			"step-wall-clock": operation(func(ms string) error {
--- a/internal/front/signed/idempotency_test.go
+++ b/internal/front/signed/idempotency_test.go
@@ -57,7 +57,7 @@
 		"read":  {readClass, getWithLink + "{good}"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := startFront(t, settingsOf(test.class, policy.IdempotentByKey), 0)
+			f := startFront(t, frontSetup{settings: settingsOf(test.class, policy.IdempotentByKey)})
 			f.runPart(test.send)
 			first := f.receiveAttempt()
 			f.proxy.Cache.ResetConns()
@@ -71,7 +71,7 @@
 
 // Guards against two requests with one key, of which servers would run only the first.
 func TestKeyedRequestsHaveDifferentKeys(t *testing.T) {
-	f := startFront(t, settingsOf(writeClass, policy.IdempotentByKey), 0)
+	f := startFront(t, frontSetup{settings: settingsOf(writeClass, policy.IdempotentByKey)})
 	keys := map[string]bool{}
 	for _, token := range []string{"{write}", "{write2}"} {
 		f.runPart(postWithToken + token + " seat9")
@@ -79,7 +79,7 @@
 		keys[attempt.key] = true
 		f.serve(attempt)
 	}
-	f = startFront(t, settingsOf(readClass, policy.IdempotentByKey), 0)
+	f = startFront(t, frontSetup{settings: settingsOf(readClass, policy.IdempotentByKey)})
 	for range 2 { // a link may be used many times
 		f.runPart(getWithLink + "{good}")
 		attempt := f.receiveAttempt()
@@ -92,7 +92,7 @@
 // Guards against keys in classes whose servers do not discard duplicates.
 func TestOnlyKeyedClassesHaveKeys(t *testing.T) {
 	for _, idempotency := range []policy.Idempotency{policy.Idempotent, policy.NotIdempotent} {
-		f := startFront(t, settingsOf(writeClass, idempotency), 0)
+		f := startFront(t, frontSetup{settings: settingsOf(writeClass, idempotency)})
 		f.runPart(postWithToken + "{write} seat9")
 		attempt := f.receiveAttempt()
 		require.Empty(t, attempt.key)
@@ -106,7 +106,7 @@
 		"crashed":  "502 - upstream failed: effect unknown",
 		"overload": "503 Retry-After:* overloaded",
 	} {
-		f := startFront(t, settingsOf(writeClass, policy.IdempotentByKey), 0)
+		f := startFront(t, frontSetup{settings: settingsOf(writeClass, policy.IdempotentByKey)})
 		f.run(postWithToken + "{write} seat9" + strings.Repeat(expectWrite+"s send $id "+outcome+"\n", 2) + "c expect " + wantAnswer)
 	}
 }
