Purges bind an object whatever the case of its hexadecimal name

Cause: names are numbers, both cases were accepted, and purges are kept by their text. Evidence: the object that the same calls purge in small letters is bound.

Change: the core hands the router one form of each name, of purges and of requests; names go to cache servers unchanged. The admin address records the same form.

Before: TestPurgeBindsWhateverTheCaseOfTheObject and TestPurgeRequestTakesObjectsInEitherCase failed on the parent's code.

--- a/internal/admin/proxy.go
+++ b/internal/admin/proxy.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"ravenwheel/internal/core"
 )
@@ -43,7 +44,7 @@
 	reply(w, e.options.State.Status())
 }
 
-// PurgeRequest is the body of POST /v1/purge. It names either an object, in 16 hexadecimal digits, or a group.
+// PurgeRequest is the body of POST /v1/purge. It names either an object, in 16 hexadecimal digits of either case, or a group.
 type PurgeRequest struct {
 	Object string `json:"object,omitempty"`
 	Group  *int   `json:"group,omitempty"`
@@ -61,7 +62,7 @@
 
 // purge converts the request to a purge at the time now, in Unix ms. A copy made in the same millisecond counts as older.
 func (p PurgeRequest) purge(now float64) (core.Purge, error) {
-	q := core.Purge{Object: p.Object, Group: -1, At: now + core.TimestampResolution}
+	q := core.Purge{Object: strings.ToLower(p.Object), Group: -1, At: now + core.TimestampResolution}
 	if p.Group == nil {
 		if _, err := strconv.ParseUint(p.Object, 16, 64); err != nil || len(p.Object) != 16 {
 			return q, errPurgeRequest
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
@@ -119,11 +120,15 @@
 // ClassIndex returns the index of the class with this name, or -1 if there is none.
 func (c *Core) ClassIndex(name string) int { return slices.Index(c.classes, name) }
 
+// canonicalObject returns the form of an object's name by which the router knows the object. The name is a number in hexadecimal, and
+// a purge of it binds whatever the case in which either is written.
+func canonicalObject(name string) string { return strings.ToLower(name) }
+
 // ApplyPurge applies a purge. Its time is limited to TimestampResolution ms after the present.
 func (c *Core) ApplyPurge(p Purge) {
 	c.Counters.Notifications.Add(1)
 	now := c.clock.Now()
-	c.notify(policy.Purged{Object: p.Object, Group: p.Group, Age: clock.Duration(now - min(now+TimestampResolution, p.At))})
+	c.notify(policy.Purged{Object: canonicalObject(p.Object), Group: p.Group, Age: clock.Duration(now - min(now+TimestampResolution, p.At))})
 }
 
 // SetDiscoveryOverdue tells the router whether discovery has sent nothing for too long. If overdue is true, purges issued up to the
--- a/internal/core/open_request.go
+++ b/internal/core/open_request.go
@@ -54,7 +54,7 @@
 	c.catchUpWithDiscovery()
 	c.notify(policy.Request{
 		ID: request.ID, TimeLeft: clock.Duration(request.Deadline - c.clock.Now()), Class: request.Class,
-		KeyIssuer: request.keyIssuer(), Object: request.Object, Part: request.Part, Group: request.Group, SizeKB: request.SizeKB,
+		KeyIssuer: request.keyIssuer(), Object: canonicalObject(request.Object), Part: request.Part, Group: request.Group, SizeKB: request.SizeKB,
 		ClientRetry: request.ClientRetry, Write: c.settings.Classes[request.Class].Uncached,
 	})
 	for {
