policy: the latest purge of any group binds a request whose group is unknown

Cause: maxAge looked for purges of group -1, of which there are none.

Change: where the group is unknown, the latest purge of any group counts.

Before: TestGroupPurgeLimitsRequestsOfUnknownGroup failed on the parent's purge.go.

--- a/policy/purge.go
+++ b/policy/purge.go
@@ -15,6 +15,16 @@
 	}
 	previous, _ := r.groupPurges.get(e.Group)
 	r.groupPurges.put(e.Group, max(purgedAt, previous))
+	r.lastGroupPurge, r.anyGroupPurged = max(purgedAt, r.lastGroupPurge), true
+}
+
+// groupPurgedAt returns when the request's group was purged last, and whether it was. The object of a request
+// whose group is unknown may belong to any group, so the latest purge of any group counts.
+func (r *Router) groupPurgedAt(req *openRequest) (purgedAt Time, purged bool) {
+	if req.Group < 0 {
+		return r.lastGroupPurge, r.anyGroupPurged
+	}
+	return r.groupPurges.get(req.Group)
 }
 
 // handleDiscoveryOverdue treats copies from before a given time as purged for as long as discovery is
@@ -27,7 +37,7 @@
 // age is the time since the latest purge, so it excludes every earlier copy, at the cache and at its source.
 func (r *Router) maxAge(req *openRequest) (age time.Duration, purged bool) {
 	purgedAt, purged := r.objectPurges.get(req.Object)
-	if groupAt, found := r.groupPurges.get(req.Group); found && (!purged || groupAt > purgedAt) {
+	if groupAt, found := r.groupPurgedAt(req); found && (!purged || groupAt > purgedAt) {
 		purgedAt, purged = groupAt, true
 	}
 	if r.discoveryOverdue && (!purged || r.unseenPurgesUntil > purgedAt) {
--- a/policy/purge_test.go
+++ b/policy/purge_test.go
@@ -52,3 +52,29 @@
 		t.Errorf("got maximum age %v when no older copy is left, want 0", fetch.MaxAge)
 	}
 }
+
+// Guards against a copy from before a group's purge that answers a request which names no group, as signed links do.
+func TestGroupPurgeLimitsRequestsOfUnknownGroup(t *testing.T) {
+	h := startRouter(t, testSettings(), testMembers())
+	request := func(id string, group int) Request {
+		r := newRequest(id, "o")
+		r.Group = group
+		return r
+	}
+	if fetch := h.requireFetch(h.handle(request("a", -1))); fetch.MaxAge != 0 {
+		t.Errorf("got maximum age %v before any purge, want 0", fetch.MaxAge)
+	}
+	h.handle(Purged{Group: 3, Age: 100 * ms})
+	h.now += 50 * ms
+	h.handle(Purged{Group: 4, Age: 170 * ms}) // told later, and older
+	if fetch := h.requireFetch(h.handle(request("b", -1))); fetch.MaxAge != 150*ms {
+		t.Errorf("got maximum age %v, want that since the latest purge of any group", fetch.MaxAge)
+	}
+	if fetch := h.requireFetch(h.handle(request("c", 5))); fetch.MaxAge != 0 {
+		t.Errorf("got maximum age %v of another group, want 0", fetch.MaxAge)
+	}
+	h.now += 2*h.router.settings.PurgeDuration + ms
+	if fetch := h.requireFetch(h.handle(request("d", -1))); fetch.MaxAge != 0 {
+		t.Errorf("got maximum age %v when no older copy is left, want 0", fetch.MaxAge)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -135,6 +135,8 @@
 	recentHits        *boundedMap[objectPart, recentHit]
 	objectPurges      *boundedMap[string, Time]
 	groupPurges       *boundedMap[int, Time]
+	lastGroupPurge    Time // latest purge of any group
+	anyGroupPurged    bool
 	discoveryOverdue  bool
 	unseenPurgesUntil Time // while discoveryOverdue: purges made until then may not have been reported
 
