Signed front: no answer in place of an empty 200 to a client that has left

Cause: the HTTP server ends the request's context at the client's end, the core gives the request up, and the handler returned without writing, which net/http answers with 200. Evidence: the body is empty, and the claims did not run at the main store.

Change: the handler of an abandoned request ends by http.ErrAbortHandler: the connection closes without an answer.

--- a/internal/front/signed/front.go
+++ b/internal/front/signed/front.go
@@ -111,9 +111,10 @@
 func (f *Front) serveRead(w http.ResponseWriter, r *http.Request, q core.Request, t token) {
 	q.Deadline = min(q.Deadline, t.validUntil)
 	answer := f.handler.Do(r.Context(), q)
-	if answer.Verdict != core.Abandoned {
-		f.answerRead(w, answer, q, t)
+	if answer.Verdict == core.Abandoned {
+		closeUnanswered()
 	}
+	f.answerRead(w, answer, q, t)
 }
 
 // serveWrite redeems the token and answers a write. A token authorises one write, once, before the first attempt; after that the
@@ -130,7 +131,12 @@
 	}
 	q.SendBy = t.validUntil
 	answer := f.handler.Do(r.Context(), q)
-	if answer.Verdict != core.Abandoned {
-		f.answerWrite(w, answer, q, t)
+	if answer.Verdict == core.Abandoned {
+		closeUnanswered()
 	}
+	f.answerWrite(w, answer, q, t)
 }
+
+// closeUnanswered ends a handler whose client has left, and closes the connection. If the handler returned, the HTTP server would
+// answer 200, which a client that has only closed its sending side still reads.
+func closeUnanswered() { panic(http.ErrAbortHandler) }
