--- a/cmd/ravenwheel/services.go
+++ b/cmd/ravenwheel/services.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"time"
 
 	"ravenwheel/internal/config"
 	"ravenwheel/internal/core"
@@ -86,15 +85,3 @@
 	s.stops = append(s.stops, func(ctx context.Context) { _ = front.Shutdown(ctx) })
 	return front, nil
 }
-
-// putKeyRetryDelay is the delay between attempts to put a key into the store, which fail until the store has a leader.
-const putKeyRetryDelay = 100 * time.Millisecond
-
-// putSigningKeys puts keys into the store, and returns once the store holds all of them.
-func putSigningKeys(st *store.Store, keys config.KeyRing) {
-	for id, key := range keys {
-		for st.PutKey(id, key) != nil {
-			time.Sleep(putKeyRetryDelay)
-		}
-	}
-}
