Signed front: the wait for the store ends with the request's time

Cause: serveWrite waited for the store as long as the store waits for itself (timeout_ms), not as long as the request has. Evidence: the core's counters have no request while the store is silent.

Change: redeem ends at the request's deadline with 503 (the claim has not run and will not), or when the client leaves.

Before: TestClaimIsAnsweredInTimeWhileStoreIsSilent failed on the parent's wait.

--- a/internal/front/signed/front.go
+++ b/internal/front/signed/front.go
@@ -121,7 +121,9 @@
 // outcome alone decides the answer. No attempt starts after the token's expiry, but the answer to an attempt that may have been
 // executed is waited for.
 func (f *Front) serveWrite(w http.ResponseWriter, r *http.Request, q core.Request, t token) {
-	switch err := f.store.RedeemToken(t.id, t.expiresUnix); {
+	switch err := f.redeem(r.Context(), q.Deadline, t); {
+	case errors.Is(err, context.Canceled):
+		closeUnanswered()
 	case errors.Is(err, store.ErrTokenRedeemed):
 		writeError(w, http.StatusConflict, "replayed")
 		return
@@ -137,6 +139,25 @@
 	f.answerWrite(w, answer, q, t)
 }
 
+// errRedeemTimeout means that the store has not answered by the request's deadline. The token may be redeemed, now or later.
+var errRedeemTimeout = errors.New("the store did not answer in time")
+
+// redeem redeems a token by a deadline, in ms of the clock. The error is that of Store.RedeemToken, errRedeemTimeout, or
+// context.Canceled if the client has left.
+func (f *Front) redeem(ctx context.Context, deadline float64, t token) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer f.clock.After(deadline-f.clock.Now(), func() { cancel(errRedeemTimeout) })()
+	redeemed := make(chan error, 1)
+	go func() { redeemed <- f.store.RedeemToken(t.id, t.expiresUnix) }()
+	select {
+	case err := <-redeemed:
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 // closeUnanswered ends a handler whose client has left, and closes the connection. If the handler returned, the HTTP server would
 // answer 200, which a client that has only closed its sending side still reads.
 func closeUnanswered() { panic(http.ErrAbortHandler) }
--- a/internal/front/signed/front_test.go
+++ b/internal/front/signed/front_test.go
@@ -204,6 +204,7 @@
 type frontFixture struct {
 	t      *testing.T
 	proxy  *scenario.Proxy
+	store  *store.Store
 	signer signer
 	actors map[string]scenario.Actor
 }
@@ -239,7 +240,7 @@
 	})
 	base := (&url.URL{Scheme: "http", Host: ln.Addr().String()}).String()
 	return &frontFixture{
-		t: t, proxy: p,
+		t: t, proxy: p, store: st,
 		signer: signer{t: t, base: base, now: (p.Clock.Now() + setup.issuerAhead) / 1000, serverNow: p.Clock.Now() / 1000, key: key},
 		actors: map[string]scenario.Actor{
 			"c": scenario.NewHTTPClient(base), "s": p.Cache, "delete-key": operation(st.DeleteKey), "store": operation(closeStore),
