policy: one rule for which results prove that an attempt did not run

The list of results stood twice, in the module (handleOutcome) and in the core (for the last time of a keyed repeat), with a comment that the two must agree. Result.MayHaveExecuted is used by both; nothing else changes. go test ./policy ./internal/core ./internal/lab/sim ./wire passes.

--- a/internal/core/open_request.go
+++ b/internal/core/open_request.go
@@ -275,7 +275,7 @@
 	a := o.attempts[ended.index]
 	invariant.Check(a.open, "an attempt has exactly one outcome")
 	a.open = false
-	a.mayHaveRun = mayHaveRun(ended.Result)
+	a.mayHaveRun = ended.Result.MayHaveExecuted()
 	o.written = o.written || ended.Written
 	if c.LoadCounter != nil {
 		c.LoadCounter.recordOutcome(a.server, ended.Outcome, c.clock.Now()-a.sentAt, c.latencyObjective(o.request.Class))
--- a/policy/events.go
+++ b/policy/events.go
@@ -82,8 +82,7 @@
 // Result is how an attempt ended.
 type Result int
 
-// The results. Overloaded, ConnectFailed, Skipped and Miss prove that the attempt did not execute the
-// request.
+// The results.
 const (
 	Unknown    Result = iota // not recognised: the request may have been executed
 	OK                       // answered
@@ -97,6 +96,15 @@
 	Miss    // a Lookup found no copy
 )
 
+// MayHaveExecuted reports whether an attempt that ended with the result may have executed the request.
+func (r Result) MayHaveExecuted() bool {
+	switch r {
+	case Overloaded, ConnectFailed, Skipped, Miss:
+		return false
+	}
+	return true
+}
+
 // Note says how an attempt was answered or why it failed. Settings.OutcomeDetail says which notes there are.
 type Note int
 
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -1,9 +1,6 @@
 package policy
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	maxRequestErrors     = 2                     // after this many errors the request counts as their cause
@@ -20,8 +17,7 @@
 		return
 	}
 	r.closeAttempt(attempt)
-	attempt.mayHaveExecuted = !slices.Contains(
-		[]Result{Overloaded, ConnectFailed, Skipped, Miss}, outcome.Result)
+	attempt.mayHaveExecuted = outcome.Result.MayHaveExecuted()
 	r.updateServerHealth(attempt, outcome)
 	if attempt.hasSource() {
 		r.updateSourceHealth(attempt, outcome)
