--- a/policy/idempotency.go
+++ b/policy/idempotency.go
@@ -22,10 +22,11 @@
 }
 
 // mayReject reports whether a rejection is safe: it tells the client that it may retry. A client's retry may
-// reach any cache, so an idempotency key makes it safe only if the retry has the same key and all caches discard
-// duplicates together.
+// reach any cache, so an idempotency key makes it safe only if the retry has the same key and all caches
+// discard duplicates together.
 func (req *openRequest) mayReject() bool {
 	idempotency := req.class.EffectiveIdempotency(req.KeyIssuer)
-	retryIsDeduped := idempotency == IdempotentByKey && req.class.DedupScope == DedupAll && req.KeyIssuer == ClientKey
+	dedupedEverywhere := idempotency == IdempotentByKey && req.class.DedupScope == DedupAll
+	retryIsDeduped := dedupedEverywhere && req.KeyIssuer == ClientKey
 	return idempotency == Idempotent || retryIsDeduped || req.firstPossiblyExecuted() == nil
 }
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -18,7 +18,7 @@
 // The kinds of idempotency.
 const (
 	Idempotent      Idempotency = iota // may be executed any number of times
-	IdempotentByKey                    // the caches of a DedupScope discard duplicates with the same key for a DedupWindow
+	IdempotentByKey                    // the caches of a DedupScope discard duplicates for a DedupWindow, by key
 	NotIdempotent                      // must not be executed twice
 )
 
@@ -73,8 +73,8 @@
 	StaleFraction    float64       `cbor:"StaleWorth"` // of PriorityWeight, for an answer from a stale copy
 }
 
-// EffectiveIdempotency returns the idempotency of a request of the class. If the class is IdempotentByKey and the
-// request has no key, no server can recognise a duplicate, so the request is NotIdempotent.
+// EffectiveIdempotency returns the idempotency of a request of the class. If the class is IdempotentByKey and
+// the request has no key, no server can recognise a duplicate, so the request is NotIdempotent.
 func (c *Class) EffectiveIdempotency(issuer KeyIssuer) Idempotency {
 	if c.Idempotency == IdempotentByKey && issuer == NoKey {
 		return NotIdempotent
