Review case 6: a wider window, with longer names and shorter pauses

Cause: with 3,000 short names the look-ups take 40 ms, which a faster machine may undercut. Change: 3,200 names of some 190 characters, quiet_ms 10, pauses of 20 to 59 ms.

--- a/review/casetool2/list_case.go
+++ b/review/casetool2/list_case.go
@@ -16,7 +16,7 @@
 func names(p *play) {
 	s := newSite(p, "seat-claim")
 	servers := s.listed()
-	p.playNames(servers, "bangkok-1", 3000, 20, 80)
+	p.playNames(servers, "bangkok-1", 3200, 10, 80)
 }
 
 // playNames starts a proxy and lets lists with and without names take turns. It reports whether the proxy crashed.
@@ -30,7 +30,7 @@
 	time.Sleep(time.Second)
 	withNames := append([]map[string]any(nil), servers...)
 	for i := range named {
-		host := fmt.Sprintf("box-%d.onion.", i)
+		host := fmt.Sprintf("box-%d.%sonion.", i, strings.Repeat("branch-1-of-the-hub-in-the-north.", 5))
 		if i == named-1 {
 			host = "localhost"
 		}
@@ -41,7 +41,7 @@
 	generation := 1
 	for round := range rounds {
 		// A text counts once it has stood for two quiet periods.
-		pause := time.Duration(2*quietMs-4+3*(round%9)) * time.Millisecond
+		pause := time.Duration(2*quietMs+3*(round%14)) * time.Millisecond
 		if !p.trouble {
 			pause = 3 * time.Second
 		}
