--- a/review/casetool2/board.go
+++ b/review/casetool2/board.go
@@ -49,12 +49,10 @@
 }
 
 func newBoard(p *play, last uint64) *board {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	p.check(err, "notice board")
-	b := &board{p: p, ln: ln, first: last + 1, conns: map[net.Conn]struct{}{}}
+	b := &board{p: p, ln: p.listen(), first: last + 1, conns: map[net.Conn]struct{}{}}
 	go func() {
 		for {
-			conn, err := ln.Accept()
+			conn, err := b.ln.Accept()
 			if err != nil {
 				return
 			}
--- a/review/casetool2/main.go
+++ b/review/casetool2/main.go
@@ -34,6 +34,7 @@
 	mu        sync.Mutex
 	record    *os.File
 	processes []*process
+	given     map[string]bool // addresses that freeAddr has returned
 	broken    int
 }
 
@@ -44,7 +45,7 @@
 		fmt.Fprintln(os.Stderr, "usage: casetool2 CASE, in the folder of the case")
 		os.Exit(exitUnusable)
 	}
-	p := &play{trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
+	p := &play{trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), given: map[string]bool{}}
 	var err error
 	if p.record, err = os.Create("record.txt"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -104,6 +105,11 @@
 
 func (p *play) unusable(format string, args ...any) {
 	p.logf("the case could not run: "+format, args...)
+	logs, _ := filepath.Glob(filepath.Join(p.dir, "*.log"))
+	for _, path := range logs {
+		text, _ := os.ReadFile(path)
+		p.logf("log %s:\n%s", filepath.Base(path), text)
+	}
 	p.exit(exitUnusable)
 }
 
@@ -126,8 +132,8 @@
 	ended chan struct{}
 }
 
-// start starts the program by the command of the deploy file, with arguments and environment. Its log goes to the record's folder
-// only if the case ends with an error, so it is kept in the temporary folder.
+// start starts the program by the command of the deploy file, with arguments and environment. Its log is kept in the temporary
+// folder, and goes into the record if the case can't run.
 func (p *play) start(name string, env []string, args string) *process {
 	text, err := os.ReadFile(filepath.Join(p.root, "deploy", "balancer.toml"))
 	p.check(err, "deploy file")
--- a/review/casetool2/wire.go
+++ b/review/casetool2/wire.go
@@ -59,11 +59,28 @@
 	return fields
 }
 
-// freeAddr returns an unused loopback address.
+// listen listens at a loopback address that freeAddr has not returned.
+func (p *play) listen() net.Listener {
+	for {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		p.check(err, "free port")
+		p.mu.Lock()
+		given := p.given[ln.Addr().String()]
+		p.mu.Unlock()
+		if !given {
+			return ln
+		}
+		defer ln.Close() // so that the next one is another
+	}
+}
+
+// freeAddr returns an unused loopback address, another one each time.
 func (p *play) freeAddr() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	p.check(err, "free port")
+	ln := p.listen()
 	defer ln.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.given[ln.Addr().String()] = true
 	return ln.Addr().String()
 }
 
@@ -116,8 +133,7 @@
 
 // serve starts a server and returns its address.
 func (s *site) serve(name string) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	s.p.check(err, "server "+name)
+	ln := s.p.listen()
 	s.copies[name] = map[string]copyOf{}
 	go func() {
 		for {
